Base packages: notes, placement, membership, backends, query, admission, net

Cause: the repository is empty; the decisions come first, as pure state machines, and the input and output around them after. Change: vocabulary, documents, logs, time line, metrics, release notes and the fleet model, placement, membership, sources, settings, HTTP.

--- /dev/null
+++ b/cmake/medlarloft_package.cmake
@@ -0,0 +1,46 @@
+# Warnings for the project's own code; generated code is compiled without.
+set(MEDLARLOFT_WARNINGS -Wall -Wextra -Wpedantic -Wshadow=local -Werror
+    -Wno-missing-field-initializers)  # designated initialisers leave defaults
+# GCC 12 reports false positives of these two inside coroutines and libstdc++.
+if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
+  list(APPEND MEDLARLOFT_WARNINGS -Wno-maybe-uninitialized -Wno-restrict)
+endif()
+
+# medlarloft_package(<name> [dependency ...])
+# Declares the library medlarloft::<name> from src/*.cpp with its public header
+# under include/medlarloft, and one test program from tests/*_test.cpp.
+function(medlarloft_package name)
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+  add_library(medlarloft_${name} STATIC ${sources})
+  add_library(medlarloft::${name} ALIAS medlarloft_${name})
+  target_include_directories(medlarloft_${name}
+    PUBLIC include PRIVATE src)
+  target_link_libraries(medlarloft_${name} PUBLIC ${ARGN})
+  target_compile_options(medlarloft_${name} PRIVATE ${MEDLARLOFT_WARNINGS})
+  if(MEDLARLOFT_TESTS)
+    file(GLOB tests CONFIGURE_DEPENDS tests/*_test.cpp)
+    if(tests)
+      add_executable(medlarloft_${name}_tests ${tests})
+      target_include_directories(medlarloft_${name}_tests PRIVATE src)
+      target_link_libraries(medlarloft_${name}_tests PRIVATE
+        medlarloft::${name} GTest::gtest GTest::gtest_main rapidcheck)
+      target_compile_options(medlarloft_${name}_tests
+        PRIVATE ${MEDLARLOFT_WARNINGS})
+      target_compile_definitions(medlarloft_${name}_tests PRIVATE
+        MEDLARLOFT_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+      gtest_discover_tests(medlarloft_${name}_tests
+        TEST_PREFIX "${name}/" DISCOVERY_TIMEOUT 60)
+    endif()
+  endif()
+endfunction()
+
+# medlarloft_program(<name> [dependency ...])
+# Declares one executable from the folder's *.cpp files.
+function(medlarloft_program name)
+  file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+  add_executable(${name} ${sources})
+  target_link_libraries(${name} PRIVATE ${ARGN})
+  target_compile_options(${name} PRIVATE ${MEDLARLOFT_WARNINGS})
+  set_target_properties(${name} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
+endfunction()
--- /dev/null
+++ b/packages/admission/src/gate.cpp
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <tuple>
+
+#include "medlarloft/admission.hpp"
+
+namespace medlarloft::admission {
+namespace {
+
+constexpr std::array<std::string_view, 5> refusal_names{
+    "none", "queue_full", "would_be_late", "throttled", "deadline_passed"};
+
+// Weight of the newest sample in the usual running time.
+constexpr int time_weight = 16;
+
+std::size_t index_of(service_class priority) {
+  return static_cast<std::size_t>(priority);
+}
+
+}  // namespace
+
+std::string_view name_of(refusal why) noexcept {
+  return refusal_names[static_cast<std::size_t>(why)];
+}
+
+bool gate::has_place(service_class priority) const noexcept {
+  const double places = options_.places[index_of(priority)] *
+                        static_cast<double>(options_.concurrent);
+  return static_cast<double>(running_) < std::max(1.0, places);
+}
+
+duration gate::expected_wait(service_class priority) const noexcept {
+  const auto ahead = std::ranges::count_if(
+      waiting_, [priority](const waiter& w) { return w.priority <= priority; });
+  return usual_ * (ahead + 1) / std::max<std::uint32_t>(1, options_.concurrent);
+}
+
+decision gate::arrive(time_point now, std::uint64_t id, service_class priority,
+                      time_point deadline) {
+  if (deadline <= now) {
+    return {.what = verdict::refuse, .why = refusal::deadline_passed};
+  }
+  if (waiting_.empty() && has_place(priority)) {
+    ++running_;
+    return {.what = verdict::run};
+  }
+  const duration wait = expected_wait(priority);
+  const duration hint = std::max<duration>(wait, std::chrono::milliseconds(10));
+  if (now + wait + usual_ > deadline) {
+    return {.what = verdict::refuse,
+            .why = refusal::would_be_late,
+            .retry_after = hint};
+  }
+  const auto same_or_lower = std::ranges::count_if(
+      waiting_, [priority](const waiter& w) { return w.priority >= priority; });
+  const double allowed = options_.queue_places[index_of(priority)] *
+                         static_cast<double>(options_.queue);
+  decision result{.what = verdict::wait};
+  const bool full = waiting_.size() >= options_.queue;
+  const bool evict = full && waiting_.back().priority > priority;
+  if ((full && !evict) || static_cast<double>(same_or_lower) >= allowed) {
+    return {.what = verdict::refuse,
+            .why = refusal::queue_full,
+            .retry_after = hint};
+  }
+  if (evict) {
+    result.evicted = waiting_.back().id;
+    waiting_.pop_back();
+  }
+  const waiter entry{id, priority, deadline};
+  const auto at = std::ranges::upper_bound(
+      waiting_, entry, [](const waiter& a, const waiter& b) {
+        return std::tie(a.priority, a.deadline) <
+               std::tie(b.priority, b.deadline);
+      });
+  waiting_.insert(at, entry);
+  return result;
+}
+
+gate::released gate::finish(time_point now, duration took) {
+  if (running_ > 0) --running_;
+  usual_ = usual_ == duration::zero() ? took
+                                      : usual_ + (took - usual_) / time_weight;
+  released out;
+  while (!waiting_.empty()) {
+    const waiter next = waiting_.front();
+    if (next.deadline <= now) {
+      out.refused.push_back(next.id);
+      waiting_.erase(waiting_.begin());
+      continue;
+    }
+    if (!has_place(next.priority)) break;
+    waiting_.erase(waiting_.begin());
+    ++running_;
+    out.run.push_back(next.id);
+  }
+  return out;
+}
+
+void gate::forget(std::uint64_t id) {
+  std::erase_if(waiting_, [id](const waiter& w) { return w.id == id; });
+}
+
+}  // namespace medlarloft::admission
--- /dev/null
+++ b/packages/documents/src/parse.cpp
@@ -0,0 +1,106 @@
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "medlarloft/documents.hpp"
+
+namespace medlarloft::documents {
+namespace {
+
+constexpr std::size_t max_excerpt = 80;
+
+// Collects the keys of every open object while the parser runs.
+class key_watch {
+ public:
+  explicit key_watch(std::size_t max_depth) : max_depth_(max_depth) {}
+
+  bool operator()(int depth, nlohmann::json::parse_event_t event,
+                  nlohmann::json& parsed) {
+    using event_t = nlohmann::json::parse_event_t;
+    if (static_cast<std::size_t>(depth) > max_depth_) too_deep_ = true;
+    if (event == event_t::object_start) open_.emplace_back();
+    if (event == event_t::object_end && !open_.empty()) open_.pop_back();
+    if (event == event_t::key && !open_.empty()) {
+      const auto& key = parsed.get_ref<const std::string&>();
+      if (!open_.back().insert(key).second) duplicate_ = key;
+    }
+    return true;
+  }
+
+  bool too_deep() const noexcept { return too_deep_; }
+  const std::string& duplicate() const noexcept { return duplicate_; }
+
+ private:
+  std::size_t max_depth_;
+  std::vector<std::set<std::string>> open_;
+  std::string duplicate_;
+  bool too_deep_ = false;
+};
+
+// Returns false as soon as the nesting passes the limit, before any parsing,
+// so that a hostile document cannot exhaust the stack.
+bool depth_within(std::string_view text, std::size_t limit) {
+  std::size_t depth = 0;
+  bool quoted = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (quoted) {
+      if (c == '\\') ++i;
+      if (c == '"') quoted = false;
+      continue;
+    }
+    if (c == '"') quoted = true;
+    if ((c == '{' || c == '[') && ++depth > limit) return false;
+    if ((c == '}' || c == ']') && depth > 0) --depth;
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string document_error::text() const {
+  std::string line = path.empty() ? "document" : path;
+  line += ": " + reason;
+  if (!value.empty()) line += ", got " + value;
+  return line;
+}
+
+std::string excerpt(const nlohmann::json& value) {
+  std::string text =
+      value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  if (text.size() > max_excerpt) {
+    text.resize(max_excerpt);
+    text += "...";
+  }
+  return text;
+}
+
+document_result<nlohmann::json> parse(std::string_view text,
+                                      parse_limits limits) {
+  if (text.size() > limits.max_bytes) {
+    return document_error{
+        document_errc::too_large, "", std::to_string(text.size()) + " bytes",
+        "is larger than " + std::to_string(limits.max_bytes) + " bytes"};
+  }
+  if (!depth_within(text, limits.max_depth)) {
+    return document_error{
+        document_errc::syntax, "", "",
+        "nests deeper than " + std::to_string(limits.max_depth)};
+  }
+  key_watch watch(limits.max_depth);
+  try {
+    nlohmann::json document = nlohmann::json::parse(text, std::ref(watch));
+    if (!watch.duplicate().empty()) {
+      return document_error{document_errc::duplicate_key, watch.duplicate(),
+                            "", "key appears twice in one object"};
+    }
+    return document;
+  } catch (const nlohmann::json::parse_error& error) {
+    return document_error{
+        document_errc::syntax, "", "",
+        "is not valid JSON at byte " + std::to_string(error.byte)};
+  } catch (const nlohmann::json::exception& error) {
+    return document_error{document_errc::syntax, "", "", error.what()};
+  }
+}
+
+}  // namespace medlarloft::documents
--- /dev/null
+++ b/packages/membership/src/spreading.cpp
@@ -0,0 +1,163 @@
+#include <algorithm>
+#include <set>
+
+#include "medlarloft/membership.hpp"
+
+namespace medlarloft::membership {
+
+outputs group::receive(time_point now, const message& received) {
+  outputs out;
+  // A ping for a daemon that had this address before is not for this one.
+  const bool misdirected = received.kind == message_kind::ping &&
+                           received.target != self_.id;
+  if (misdirected || received.from == self_.id) return out;
+  take_updates(now, out, received);
+  heard_directly(now, out, received.from);
+  switch (received.kind) {
+    case message_kind::ping: {
+      const member_record* sender = find(received.from);
+      if (sender == nullptr) break;
+      message body = make(message_kind::ack);
+      body.sequence = received.sequence;
+      send(out, *sender, std::move(body));
+      break;
+    }
+    case message_kind::ack:
+    case message_kind::nack:
+      on_ack(now, out, received);
+      break;
+    case message_kind::ping_req:
+      on_ping_req(now, out, received);
+      break;
+    case message_kind::join:
+      on_join(now, out, received);
+      break;
+    case message_kind::members:
+      joined_ = true;
+      on_notes(out, received);
+      break;
+    case message_kind::want_notes: {
+      const member_record* sender = find(received.from);
+      if (sender == nullptr) break;
+      message body = make(message_kind::notes);
+      body.notes = held_(received.version);
+      if (!body.notes.empty()) send(out, *sender, std::move(body));
+      break;
+    }
+    case message_kind::notes:
+      on_notes(out, received);
+      break;
+    case message_kind::words:
+      out.words = received.words;
+      break;
+  }
+  compare_note(out, received);
+  return out;
+}
+
+void group::on_join(time_point /*now*/, outputs& out,
+                    const message& received) {
+  const member_record* sender = find(received.from);
+  if (sender == nullptr) return;
+  message body = make(message_kind::members);
+  for (const member_record& record : members()) {
+    if (record.state != member_state::unheard) body.updates.push_back(record);
+  }
+  body.notes = held_(received.version);
+  out.sends.push_back({sender->control, sender->id, std::move(body)});
+}
+
+void group::on_notes(outputs& out, const message& received) {
+  if (received.notes.empty()) return;
+  out.notes.push_back({.from = received.from,
+                       .root = received.root,
+                       .chain = received.notes,
+                       .digest = received.digest});
+}
+
+// Anti-entropy: whoever is behind asks, whatever message showed it.
+void group::compare_note(outputs& out, const message& received) {
+  if (received.version == version_ && version_ != 0 &&
+      received.digest != digest_) {
+    out.conflicts.push_back({received.from, version_});
+    return;
+  }
+  const bool brings = !received.notes.empty();
+  if (received.version <= version_ || brings) return;
+  const member_record* sender = find(received.from);
+  if (sender == nullptr) return;
+  out.sends.push_back(
+      {sender->control, sender->id, make(message_kind::want_notes)});
+}
+
+outputs group::set_note(time_point /*now*/, note_version version,
+                        std::uint64_t digest, const std::string& root,
+                        bool first_hand) {
+  outputs out;
+  version_ = version;
+  digest_ = digest;
+  if (!root.empty()) push_note(out, root, first_hand);
+  return out;
+}
+
+// The daemons of a data centre, rotated so that the root comes first, form a
+// complete tree; each passes the note to its children in it. Views that
+// differ leave gaps, which anti-entropy closes.
+void group::push_note(outputs& out, const std::string& root,
+                      bool first_hand) {
+  const std::vector<std::string> order =
+      ranked(self_.data_centre, "notes");
+  const auto root_at = std::ranges::find(order, root);
+  const bool local_root = root_at != order.end();
+  const std::size_t shift =
+      local_root ? static_cast<std::size_t>(root_at - order.begin()) : 0;
+  const std::size_t size = order.size();
+  const auto self_at = std::ranges::find(order, self_.id);
+  if (self_at == order.end()) return;
+  const std::size_t position =
+      (static_cast<std::size_t>(self_at - order.begin()) + size - shift) %
+      size;
+  std::set<std::string> targets;
+  for (std::size_t k = 1; k <= options_.tree_fanout; ++k) {
+    const std::size_t child = position * options_.tree_fanout + k;
+    if (child >= size) break;
+    targets.insert(order[(child + shift) % size]);
+  }
+  // The first to read it tells one daemon of each other data centre, which
+  // may have no reader of its own that works.
+  std::set<std::string> centres;
+  if (first_hand) {
+    for (const auto& [id, known] : members_) {
+      if (reachable(known.record)) centres.insert(known.record.data_centre);
+    }
+    centres.erase(self_.data_centre);
+  }
+  for (const std::string& centre : centres) {
+    const std::vector<std::string> there = ranked(centre, "notes");
+    if (!there.empty()) targets.insert(there.front());
+  }
+  for (const std::string& id : targets) {
+    const member_record* record = find(id);
+    if (id == self_.id || record == nullptr) continue;
+    message body = make(message_kind::notes);
+    // The receiver most likely holds the version before this one.
+    body.notes = held_(version_ - 1);
+    // In another data centre the receiver is the root of its own tree.
+    const bool same = record->data_centre == self_.data_centre;
+    body.root = same ? root : id;
+    send(out, *record, std::move(body));
+  }
+}
+
+outputs group::send_words(time_point /*now*/, const std::string& to,
+                          std::vector<server_word> words) {
+  outputs out;
+  const member_record* record = find(to);
+  if (record == nullptr || !reachable(*record)) return out;
+  message body = make(message_kind::words);
+  body.words = std::move(words);
+  send(out, *record, std::move(body));
+  return out;
+}
+
+}  // namespace medlarloft::membership
