--- /dev/null
+++ b/apps/medlarloftd/main.cpp
@@ -0,0 +1,70 @@
+/// The daemon's program: flags, settings, and one server.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <iostream>
+#include <string>
+
+#include "medlarloft/logs.hpp"
+#include "medlarloft/server.hpp"
+#include "medlarloft/settings.hpp"
+
+ABSL_FLAG(std::string, settings, "", "path of the JSON settings file");
+ABSL_FLAG(bool, check, false, "check the settings and exit");
+ABSL_FLAG(std::string, log_level, "",
+          "debug, info, warning or error; beats the settings");
+ABSL_FLAG(int, traffic_threads, 0,
+          "number of traffic threads; beats the settings when above 0");
+
+namespace {
+
+constexpr int exit_failed = 1;
+constexpr int exit_invalid = 2;
+
+int refuse(const std::string& text) {
+  std::cerr << "medlarloftd: " << text << '\n';
+  return exit_invalid;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "medlarloftd --settings FILE [--check]\n\n"
+      "One daemon of the medlarloft query tier. SIGTERM stops it gracefully;\n"
+      "a second signal ends it at once.");
+  const auto rest = absl::ParseCommandLine(argc, argv);
+  if (rest.size() > 1) {
+    return refuse("argument \"" + std::string(rest[1]) + "\" is not known");
+  }
+  const std::string path = absl::GetFlag(FLAGS_settings);
+  if (path.empty()) return refuse("--settings: names no file");
+  const auto text = medlarloft::settings::read_file(path);
+  if (!text) return refuse(text.error().text());
+  auto read = medlarloft::settings::read(text.value());
+  if (!read) return refuse(path + ": " + read.error().text());
+  medlarloft::settings::daemon_settings settings = std::move(read).value();
+  if (const std::string level = absl::GetFlag(FLAGS_log_level);
+      !level.empty()) {
+    const auto parsed = medlarloft::logs::parse_level(level);
+    if (!parsed) return refuse("--log_level: " + parsed.error().text);
+    settings.log_level = parsed.value();
+  }
+  if (const int threads = absl::GetFlag(FLAGS_traffic_threads); threads > 0) {
+    settings.traffic_threads = static_cast<std::size_t>(threads);
+  }
+  if (absl::GetFlag(FLAGS_check)) {
+    std::cout << path << ": valid\n";
+    return 0;
+  }
+  medlarloft::logs::configure(settings.log_level, settings.id);
+  medlarloft::server::daemon daemon(std::move(settings));
+  const auto ended = daemon.run();
+  if (!ended) {
+    std::cerr << "medlarloftd: " << ended.error().text << '\n';
+    return exit_failed;
+  }
+  return 0;
+}
--- a/packages/backends/include/medlarloft/backends.hpp
+++ b/packages/backends/include/medlarloft/backends.hpp
@@ -79,6 +79,9 @@
     duration slow_floor = std::chrono::milliseconds(20);
     /// What the limit is multiplied by when the server sheds.
     double shed_factor = 0.7;
+    /// A report counts only if it is newer than the last evidence of cold by
+    /// this much, which covers its time on the way.
+    duration report_margin = std::chrono::seconds(1);
     /// After a shed answer nothing is sent for this long.
     duration shed_pause = std::chrono::milliseconds(20);
   };
@@ -99,6 +102,12 @@
   /// Takes the loss of an idle connection by the server's doing.
   std::optional<cold_evidence> connection_lost(time_point now);
 
+  /// Takes what the health endpoint says. It lags and may mislead, so only
+  /// its bad news counts: another start, or leaving.
+  std::optional<cold_evidence> heard_health(time_point now,
+                                            const std::string& start_id,
+                                            bool says_leaving);
+
   /// Takes another home daemon's word; only word newer than the last evidence
   /// of cold, about the start that is known, counts. Returns whether the
   /// server became warm by it.
--- a/packages/backends/src/server_state.cpp
+++ b/packages/backends/src/server_state.cpp
@@ -123,9 +123,26 @@
   return warm_before ? std::optional(why) : std::nullopt;
 }
 
+std::optional<cold_evidence> server_state::heard_health(
+    time_point now, const std::string& start_id, bool says_leaving) {
+  const bool restarted =
+      !start_id_.empty() && !start_id.empty() && start_id != start_id_;
+  if (!restarted) {
+    if (says_leaving) set_leaving(leaving_source::drain, true);
+    return std::nullopt;
+  }
+  const bool warm_before = warmth_ == warmth::warm;
+  start_id_ = start_id;
+  set_leaving(leaving_source::answer, false);
+  set_leaving(leaving_source::drain, says_leaving);
+  const cold_evidence why = turn_cold(now, cold_evidence::start_identity);
+  return warm_before ? std::optional(why) : std::nullopt;
+}
+
 bool server_state::take_report(const warm_report& report) {
   if (warmth_ == warmth::warm) return false;
-  if (report.heard_at <= cold_since_ || report.start_id.empty()) return false;
+  const bool newer = report.heard_at > cold_since_ + options_.report_margin;
+  if (!newer || report.start_id.empty()) return false;
   start_id_ = report.start_id;
   warmth_ = warmth::warm;
   return true;
--- /dev/null
+++ b/packages/peers/schema/wire.capnp
@@ -0,0 +1,110 @@
+@0xb7c1f4d2a9e85063;
+
+# What daemons say to each other. Times are nanoseconds, and always spans:
+# clocks of two hosts are never compared.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("medlarloft::peers::wire");
+
+struct Stamp {
+  wall @0 :UInt64;
+  logical @1 :UInt32;
+}
+
+struct Task {
+  attempt @0 :UInt64;
+  leaf @1 :Text;
+  shard @2 :Text;
+  rangeFrom @3 :UInt64;
+  rangeTo @4 :UInt64;
+  snapshot @5 :UInt64;
+}
+
+struct Part {
+  requestId @0 :Text;
+  service @1 :Text;
+  priority @2 :UInt8;
+  body @3 :Text;
+  remaining @4 :Int64;
+  idempotent @5 :Bool;
+  rowLimit @6 :UInt32;
+  flushAfter @7 :Int64;
+  tasks @8 :List(Task);
+  stamp @9 :Stamp;
+  partId @10 :UInt64;  # chosen by the sender at random
+}
+
+struct Row {
+  id @0 :Text;
+  position @1 :UInt64;
+  score @2 :Float64;
+  body @3 :Text;
+}
+
+struct TaskResult {
+  attempt @0 :UInt64;
+  how @1 :UInt8;
+  snapshot @2 :UInt64;
+  rangeFrom @3 :UInt64;
+  rangeTo @4 :UInt64;
+  rows @5 :List(Row);
+  oldest @6 :UInt64;
+  newest @7 :UInt64;
+  latency @8 :Int64;
+}
+
+struct PartAnswer {
+  partId @0 :UInt64;
+  pending @1 :UInt32;
+  results @2 :List(TaskResult);
+  stamp @3 :Stamp;
+}
+
+interface Traffic {
+  run @0 (part :Part) -> (answer :PartAnswer);
+  collect @1 (partId :UInt64) -> (answer :PartAnswer);
+  cancel @2 (partId :UInt64, attempts :List(UInt64)) -> ();
+  # Hands a whole request to the daemon that owns its id.
+  forward @3 (request :Text, remaining :Int64, stamp :Stamp)
+      -> (status :UInt16, answer :Text, stamp :Stamp);
+}
+
+struct Member {
+  id @0 :Text;
+  dataCentre @1 :Text;
+  controlIp @2 :Text;
+  controlPort @3 :UInt16;
+  incarnation @4 :UInt64;
+  state @5 :UInt8;
+}
+
+struct Note {
+  version @0 :UInt64;
+  base @1 :UInt64;
+  text @2 :Text;
+}
+
+struct Word {
+  leaf @0 :Text;
+  warmStartId @1 :Text;
+  age @2 :Int64;
+  leaving @3 :UInt8;  # 0: not said, 1: leaves, 2: stays
+}
+
+struct Message {
+  kind @0 :UInt8;
+  sender @1 :Text;
+  sequence @2 :UInt64;
+  target @3 :Text;
+  version @4 :UInt64;
+  digest @5 :UInt64;
+  updates @6 :List(Member);
+  notes @7 :List(Note);
+  root @8 :Text;
+  words @9 :List(Word);
+  stamp @10 :Stamp;
+}
+
+interface Control {
+  deliver @0 (message :Message) -> ();
+}
--- /dev/null
+++ b/packages/peers/src/asio_stream.cpp
@@ -0,0 +1,172 @@
+#include "asio_stream.hpp"
+
+#include <kj/debug.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+namespace medlarloft::peers::detail {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+kj::Exception failure(const error_code& code) {
+  return KJ_EXCEPTION(DISCONNECTED, "peer connection", code.message());
+}
+
+// Waits hold no buffers: a promise that is dropped leaves nothing behind that
+// could write into freed memory.
+class asio_stream final : public kj::AsyncIoStream {
+ public:
+  explicit asio_stream(tcp::socket socket)
+      : socket_(std::make_shared<tcp::socket>(std::move(socket))) {
+    error_code ignored;
+    socket_->set_option(tcp::no_delay(true), ignored);
+    socket_->non_blocking(true, ignored);
+  }
+
+  ~asio_stream() noexcept {
+    error_code ignored;
+    socket_->close(ignored);
+  }
+
+  kj::Promise<size_t> tryRead(void* buffer, size_t least,
+                              size_t most) override {
+    return read_on(static_cast<char*>(buffer), least, most, 0);
+  }
+
+  kj::Promise<void> write(const void* buffer, size_t size) override {
+    return write_on(static_cast<const char*>(buffer), size);
+  }
+
+  kj::Promise<void> write(
+      kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override {
+    if (pieces.size() == 0) return kj::READY_NOW;
+    const auto first = pieces[0];
+    const auto rest = pieces.slice(1, pieces.size());
+    auto begun = write(first.begin(), first.size());
+    if (rest.size() == 0) return begun;
+    return begun.then([this, rest] { return write(rest); });
+  }
+
+  kj::Promise<void> whenWriteDisconnected() override {
+    return kj::NEVER_DONE;
+  }
+
+  void shutdownWrite() override {
+    error_code ignored;
+    socket_->shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  void abortRead() override {
+    error_code ignored;
+    socket_->shutdown(tcp::socket::shutdown_receive, ignored);
+  }
+
+ private:
+  kj::Promise<void> ready(tcp::socket::wait_type what) {
+    auto waiting = kj::newPromiseAndFulfiller<void>();
+    auto fulfiller =
+        std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+            kj::mv(waiting.fulfiller));
+    socket_->async_wait(
+        what, [fulfiller, kept = socket_](const error_code& code) {
+          if (code) {
+            (*fulfiller)->reject(failure(code));
+          } else {
+            (*fulfiller)->fulfill();
+          }
+        });
+    return kj::mv(waiting.promise);
+  }
+
+  kj::Promise<size_t> read_on(char* buffer, size_t least, size_t most,
+                              size_t done) {
+    while (done < least) {
+      error_code code;
+      const size_t got = socket_->read_some(
+          asio::buffer(buffer + done, most - done), code);
+      if (code == asio::error::would_block ||
+          code == asio::error::try_again) {
+        return ready(tcp::socket::wait_read)
+            .then([this, buffer, least, most, done] {
+              return read_on(buffer, least, most, done);
+            });
+      }
+      if (code == asio::error::eof) return done;
+      if (code) return failure(code);
+      done += got;
+    }
+    return done;
+  }
+
+  kj::Promise<void> write_on(const char* buffer, size_t size) {
+    while (size > 0) {
+      error_code code;
+      const size_t put = socket_->write_some(asio::buffer(buffer, size), code);
+      if (code == asio::error::would_block ||
+          code == asio::error::try_again) {
+        return ready(tcp::socket::wait_write).then([this, buffer, size] {
+          return write_on(buffer, size);
+        });
+      }
+      if (code) return failure(code);
+      buffer += put;
+      size -= put;
+    }
+    return kj::READY_NOW;
+  }
+
+  std::shared_ptr<tcp::socket> socket_;
+};
+
+// One attempt to connect; the timer closes the socket when it takes too long.
+struct connecting {
+  explicit connecting(asio::io_context& context)
+      : socket(context), timer(context) {}
+  tcp::socket socket;
+  asio::steady_timer timer;
+};
+
+}  // namespace
+
+kj::Own<kj::AsyncIoStream> make_stream(tcp::socket socket) {
+  return kj::heap<asio_stream>(std::move(socket));
+}
+
+void connect(asio::io_context& context, const endpoint& to,
+             const std::string& from_ip, duration limit,
+             std::function<void(tcp::socket, std::string)> done) {
+  auto attempt = std::make_shared<connecting>(context);
+  error_code failed;
+  const tcp::endpoint target(asio::ip::make_address(to.ip, failed), to.port);
+  if (!failed) attempt->socket.open(target.protocol(), failed);
+  if (!failed && !from_ip.empty()) {
+    const auto from = asio::ip::make_address(from_ip, failed);
+    if (!failed) attempt->socket.bind(tcp::endpoint(from, 0), failed);
+  }
+  if (failed) {
+    done(std::move(attempt->socket), failed.message());
+    return;
+  }
+  attempt->timer.expires_after(limit);
+  attempt->timer.async_wait([attempt](const error_code& cancelled) {
+    error_code ignored;
+    if (!cancelled) attempt->socket.close(ignored);
+  });
+  attempt->socket.async_connect(
+      target, [attempt, done = std::move(done)](const error_code& refused) {
+        attempt->timer.cancel();
+        const bool timed_out = !attempt->socket.is_open();
+        std::string error;
+        if (refused || timed_out) {
+          error = timed_out ? "connecting took too long" : refused.message();
+        }
+        done(std::move(attempt->socket), std::move(error));
+      });
+}
+
+}  // namespace medlarloft::peers::detail
--- /dev/null
+++ b/packages/peers/src/event_loop.cpp
@@ -0,0 +1,65 @@
+#include <kj/async.h>
+#include <utility>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include "medlarloft/peers.hpp"
+
+namespace medlarloft::peers {
+namespace {
+
+// Lets Cap'n Proto's event loop wait by running Asio handlers.
+class asio_port final : public kj::EventPort {
+ public:
+  explicit asio_port(io_context& context) : context_(context) {}
+
+  bool wait() override {
+    context_.run_one();
+    return false;
+  }
+
+  bool poll() override {
+    context_.poll();
+    return false;
+  }
+
+ private:
+  io_context& context_;
+};
+
+}  // namespace
+
+struct event_loop::state {
+  explicit state(io_context& context)
+      : work(boost::asio::make_work_guard(context)) {}
+
+  boost::asio::executor_work_guard<io_context::executor_type> work;
+  kj::Own<kj::PromiseFulfiller<void>> stop;
+};
+
+event_loop::event_loop() : state_(std::make_unique<state>(context_)) {}
+event_loop::~event_loop() = default;
+
+void event_loop::run(const std::function<void()>& ready,
+                     const std::function<void()>& finished) {
+  asio_port port(context_);
+  kj::EventLoop loop(port);
+  kj::WaitScope scope(loop);
+  auto stopped = kj::newPromiseAndFulfiller<void>();
+  state_->stop = kj::mv(stopped.fulfiller);
+  ready();
+  stopped.promise.wait(scope);
+  finished();
+  state_->stop = nullptr;
+  // Handlers that are queued may still free what the loop owns.
+  context_.poll();
+}
+
+void event_loop::stop() {
+  boost::asio::post(context_, [this] {
+    if (state_->stop.get() != nullptr) state_->stop->fulfill();
+  });
+}
+
+}  // namespace medlarloft::peers
--- /dev/null
+++ b/packages/peers/src/servers.cpp
@@ -0,0 +1,276 @@
+#include <capnp/rpc-twoparty.h>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <list>
+
+#include "asio_stream.hpp"
+#include "wire_codec.hpp"
+
+namespace medlarloft::peers {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+// Gives a promise for an answer that arrives by callback.
+template <class Value>
+std::pair<kj::Promise<void>, std::function<void(Value)>> promised(
+    std::function<void(const Value&)> write) {
+  auto pair = kj::newPromiseAndFulfiller<void>();
+  auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+      kj::mv(pair.fulfiller));
+  return {kj::mv(pair.promise),
+          [fulfiller, write = std::move(write)](Value value) {
+            // The caller may be gone; then there is nobody to write for.
+            if (!(*fulfiller)->isWaiting()) return;
+            write(value);
+            (*fulfiller)->fulfill();
+          }};
+}
+
+class traffic_service final : public wire::Traffic::Server {
+ public:
+  traffic_service(traffic_hooks hooks, stamping clock)
+      : hooks_(std::move(hooks)), clock_(std::move(clock)) {}
+
+  kj::Promise<void> run(RunContext context) override {
+    const auto work = context.getParams().getPart();
+    clock_.merge(detail::read(work.getStamp()));
+    auto [promise, reply] = promised<part_answer>(
+        [this, context](const part_answer& answer) mutable {
+          write(answer, context.getResults().initAnswer());
+        });
+    hooks_.run(detail::read(work), std::move(reply));
+    return kj::mv(promise);
+  }
+
+  kj::Promise<void> collect(CollectContext context) override {
+    auto [promise, reply] = promised<part_answer>(
+        [this, context](const part_answer& answer) mutable {
+          write(answer, context.getResults().initAnswer());
+        });
+    hooks_.collect(context.getParams().getPartId(), std::move(reply));
+    return kj::mv(promise);
+  }
+
+  kj::Promise<void> cancel(CancelContext context) override {
+    const auto asked = context.getParams().getAttempts();
+    std::vector<query::attempt_id> attempts;
+    attempts.reserve(asked.size());
+    for (const std::uint64_t attempt : asked) attempts.push_back(attempt);
+    hooks_.cancel(context.getParams().getPartId(), std::move(attempts));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> forward(ForwardContext context) override {
+    const auto params = context.getParams();
+    clock_.merge(detail::read(params.getStamp()));
+    auto [promise, reply] = promised<forwarded_answer>(
+        [this, context](const forwarded_answer& answer) mutable {
+          auto results = context.getResults();
+          results.setStatus(static_cast<std::uint16_t>(answer.status));
+          results.setAnswer(answer.body);
+          detail::write(clock_.tick(), results.initStamp());
+        });
+    hooks_.forward(detail::text_of(params.getRequest()),
+                   std::chrono::duration_cast<duration>(
+                       std::chrono::nanoseconds(params.getRemaining())),
+                   std::move(reply));
+    return kj::mv(promise);
+  }
+
+ private:
+  void write(const part_answer& answer, wire::PartAnswer::Builder to) {
+    detail::write(answer, to);
+    detail::write(clock_.tick(), to.initStamp());
+  }
+
+  traffic_hooks hooks_;
+  stamping clock_;
+};
+
+class control_service final : public wire::Control::Server {
+ public:
+  control_service(control_server::delivered on_message, stamping clock)
+      : on_message_(std::move(on_message)), clock_(std::move(clock)) {}
+
+  kj::Promise<void> deliver(DeliverContext context) override {
+    const auto message = context.getParams().getMessage();
+    clock_.merge(detail::read(message.getStamp()));
+    on_message_(detail::read(message));
+    return kj::READY_NOW;
+  }
+
+ private:
+  control_server::delivered on_message_;
+  stamping clock_;
+};
+
+// The accepted connections of one loop.
+class accepted_links {
+ public:
+  void add(tcp::socket socket, capnp::Capability::Client service) {
+    links_.emplace_back(detail::make_stream(std::move(socket)),
+                        kj::mv(service));
+    const auto at = std::prev(links_.end());
+    at->watch = at->network.onDisconnect()
+                    .then([this, at] { gone_.push_back(at); })
+                    .eagerlyEvaluate(nullptr);
+    // Connections that ended are freed here, outside of their own promises.
+    for (const auto& ended : std::exchange(gone_, {})) links_.erase(ended);
+  }
+
+  void drop() {
+    gone_.clear();
+    links_.clear();
+  }
+
+ private:
+  struct link {
+    link(kj::Own<kj::AsyncIoStream> opened,
+         capnp::Capability::Client bootstrap)
+        : stream(kj::mv(opened)),
+          network(*stream, capnp::rpc::twoparty::Side::SERVER),
+          rpc(capnp::makeRpcServer(network, kj::mv(bootstrap))) {}
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+    kj::Promise<void> watch = nullptr;
+  };
+
+  std::list<link> links_;
+  std::vector<std::list<link>::iterator> gone_;
+};
+
+peer_result<void> listen_on(tcp::acceptor& acceptor, const endpoint& listen) {
+  error_code failed;
+  const tcp::endpoint at(asio::ip::make_address(listen.ip, failed),
+                         listen.port);
+  if (!failed) acceptor.open(at.protocol(), failed);
+  if (!failed) acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+  if (!failed) acceptor.bind(at, failed);
+  if (!failed) acceptor.listen(asio::socket_base::max_listen_connections,
+                               failed);
+  if (failed) {
+    return peer_error{peer_errc::not_connected,
+                      "cannot listen on " + format_endpoint(listen) + ": " +
+                          failed.message()};
+  }
+  return outcome::success();
+}
+
+}  // namespace
+
+struct traffic_server::state : std::enable_shared_from_this<state> {
+  state(std::vector<event_loop*> all, endpoint at, hooks_of make,
+        stamping stamps)
+      : loops(std::move(all)),
+        listen(std::move(at)),
+        hooks(std::move(make)),
+        clock(std::move(stamps)),
+        acceptor(loops.front()->context()),
+        links(loops.size()) {}
+
+  void accept_next() {
+    const std::size_t worker = next++ % loops.size();
+    io_context& serving = loops[worker]->context();
+    acceptor.async_accept(
+        serving, [self = shared_from_this(), worker, &serving](
+                     error_code failed, tcp::socket socket) {
+          if (failed == asio::error::operation_aborted) return;
+          if (!failed) {
+            asio::post(serving, [self, worker,
+                                 socket = std::move(socket)]() mutable {
+              self->links[worker].add(
+                  std::move(socket),
+                  kj::heap<traffic_service>(self->hooks(worker),
+                                            self->clock));
+            });
+          }
+          self->accept_next();
+        });
+  }
+
+  std::vector<event_loop*> loops;
+  endpoint listen;
+  hooks_of hooks;
+  stamping clock;
+  tcp::acceptor acceptor;
+  std::size_t next = 0;
+  std::vector<accepted_links> links;
+};
+
+traffic_server::traffic_server(std::vector<event_loop*> loops,
+                               endpoint listen, hooks_of hooks,
+                               stamping clock)
+    : state_(std::make_shared<state>(std::move(loops), std::move(listen),
+                                     std::move(hooks), std::move(clock))) {}
+traffic_server::~traffic_server() = default;
+
+peer_result<void> traffic_server::start() {
+  BOOST_OUTCOME_TRYV(listen_on(state_->acceptor, state_->listen));
+  state_->accept_next();
+  return outcome::success();
+}
+
+void traffic_server::close() {
+  asio::post(state_->loops.front()->context(), [state = state_] {
+    error_code ignored;
+    state->acceptor.close(ignored);
+  });
+}
+
+void traffic_server::drop(std::size_t worker) { state_->links[worker].drop(); }
+
+struct control_server::state : std::enable_shared_from_this<state> {
+  state(event_loop& on, endpoint at, delivered handle, stamping stamps)
+      : loop(on),
+        listen(std::move(at)),
+        on_message(std::move(handle)),
+        clock(std::move(stamps)),
+        acceptor(loop.context()) {}
+
+  void accept_next() {
+    acceptor.async_accept([self = shared_from_this()](error_code failed,
+                                                      tcp::socket socket) {
+      if (failed == asio::error::operation_aborted) return;
+      if (!failed) {
+        self->links.add(std::move(socket), kj::heap<control_service>(
+                                               self->on_message, self->clock));
+      }
+      self->accept_next();
+    });
+  }
+
+  event_loop& loop;
+  endpoint listen;
+  delivered on_message;
+  stamping clock;
+  tcp::acceptor acceptor;
+  accepted_links links;
+};
+
+control_server::control_server(event_loop& loop, endpoint listen,
+                               delivered on_message, stamping clock)
+    : state_(std::make_shared<state>(loop, std::move(listen),
+                                     std::move(on_message),
+                                     std::move(clock))) {}
+
+control_server::~control_server() = default;
+
+peer_result<void> control_server::start() {
+  BOOST_OUTCOME_TRYV(listen_on(state_->acceptor, state_->listen));
+  state_->accept_next();
+  return outcome::success();
+}
+
+void control_server::close() {
+  error_code ignored;
+  state_->acceptor.close(ignored);
+  state_->links.drop();
+}
+
+}  // namespace medlarloft::peers
--- /dev/null
+++ b/packages/peers/src/wire_codec.cpp
@@ -0,0 +1,253 @@
+#include "wire_codec.hpp"
+
+#include <capnp/serialize.h>
+
+#include <stdexcept>
+
+namespace medlarloft::peers {
+namespace detail {
+namespace {
+
+std::int64_t nanos(duration value) {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(value).count();
+}
+
+duration span(std::int64_t nanoseconds) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::nanoseconds(nanoseconds));
+}
+
+template <class Enum>
+Enum checked(std::uint8_t value, Enum last) {
+  if (value > static_cast<std::uint8_t>(last)) {
+    throw std::invalid_argument("enumerator " + std::to_string(value) +
+                                " is out of range");
+  }
+  return static_cast<Enum>(value);
+}
+
+unsigned count_of(std::size_t size) { return static_cast<unsigned>(size); }
+
+void write(const query::row& from, wire::Row::Builder to) {
+  to.setId(from.id);
+  to.setPosition(from.position);
+  to.setScore(from.score);
+  to.setBody(from.body);
+}
+
+query::row read(wire::Row::Reader from) {
+  return {text_of(from.getId()), from.getPosition(), from.getScore(),
+          text_of(from.getBody())};
+}
+
+void write(const task_result& from, wire::TaskResult::Builder to) {
+  to.setAttempt(from.attempt);
+  to.setHow(static_cast<std::uint8_t>(from.how));
+  to.setSnapshot(from.answer.snapshot);
+  to.setRangeFrom(from.answer.range.from);
+  to.setRangeTo(from.answer.range.to);
+  to.setOldest(from.oldest);
+  to.setNewest(from.newest);
+  to.setLatency(nanos(from.latency));
+  auto rows = to.initRows(count_of(from.answer.rows.size()));
+  for (unsigned i = 0; i < rows.size(); ++i) {
+    write(from.answer.rows[i], rows[i]);
+  }
+}
+
+task_result read(wire::TaskResult::Reader from) {
+  task_result result;
+  result.attempt = from.getAttempt();
+  result.how = checked(from.getHow(), task_ending::lost);
+  result.answer.snapshot = from.getSnapshot();
+  result.answer.range = {from.getRangeFrom(), from.getRangeTo()};
+  result.oldest = from.getOldest();
+  result.newest = from.getNewest();
+  result.latency = span(from.getLatency());
+  result.answer.rows.reserve(from.getRows().size());
+  for (const auto row : from.getRows()) result.answer.rows.push_back(read(row));
+  return result;
+}
+
+void write(const membership::member_record& from, wire::Member::Builder to) {
+  to.setId(from.id);
+  to.setDataCentre(from.data_centre);
+  to.setControlIp(from.control.ip);
+  to.setControlPort(from.control.port);
+  to.setIncarnation(from.incarnation);
+  to.setState(static_cast<std::uint8_t>(from.state));
+}
+
+membership::member_record read(wire::Member::Reader from) {
+  return {text_of(from.getId()),
+          text_of(from.getDataCentre()),
+          {text_of(from.getControlIp()), from.getControlPort()},
+          from.getIncarnation(),
+          checked(from.getState(), membership::member_state::left)};
+}
+
+std::uint8_t encode_leaving(const std::optional<bool>& leaving) {
+  if (!leaving) return 0;
+  return *leaving ? 1 : 2;
+}
+
+void write(const membership::server_word& from, wire::Word::Builder to) {
+  to.setLeaf(from.leaf);
+  to.setWarmStartId(from.warm_start_id);
+  to.setAge(nanos(from.age));
+  to.setLeaving(encode_leaving(from.leaving));
+}
+
+membership::server_word read(wire::Word::Reader from) {
+  membership::server_word word;
+  word.leaf = text_of(from.getLeaf());
+  word.warm_start_id = text_of(from.getWarmStartId());
+  word.age = span(from.getAge());
+  if (from.getLeaving() != 0) word.leaving = from.getLeaving() == 1;
+  return word;
+}
+
+}  // namespace
+
+void write(const timeline::stamp& from, wire::Stamp::Builder to) {
+  to.setWall(from.wall);
+  to.setLogical(from.logical);
+}
+
+timeline::stamp read(wire::Stamp::Reader from) {
+  return {from.getWall(), from.getLogical()};
+}
+
+void write(const part& from, wire::Part::Builder to) {
+  to.setPartId(from.part_id);
+  to.setRequestId(from.request_id);
+  to.setService(from.service);
+  to.setPriority(static_cast<std::uint8_t>(from.priority));
+  to.setBody(from.body);
+  to.setRemaining(nanos(from.remaining));
+  to.setIdempotent(from.idempotent);
+  to.setRowLimit(static_cast<std::uint32_t>(from.row_limit));
+  to.setFlushAfter(nanos(from.flush_after));
+  auto tasks = to.initTasks(count_of(from.tasks.size()));
+  for (unsigned i = 0; i < tasks.size(); ++i) {
+    const part_task& task = from.tasks[i];
+    tasks[i].setAttempt(task.attempt);
+    tasks[i].setLeaf(task.leaf);
+    tasks[i].setShard(task.shard);
+    tasks[i].setRangeFrom(task.range.from);
+    tasks[i].setRangeTo(task.range.to);
+    tasks[i].setSnapshot(task.snapshot);
+  }
+}
+
+part read(wire::Part::Reader from) {
+  part work;
+  work.part_id = from.getPartId();
+  work.request_id = text_of(from.getRequestId());
+  work.service = text_of(from.getService());
+  work.priority =
+      checked(from.getPriority(), notes::service_class::ordinary);
+  work.body = text_of(from.getBody());
+  work.remaining = span(from.getRemaining());
+  work.idempotent = from.getIdempotent();
+  work.row_limit = from.getRowLimit();
+  work.flush_after = span(from.getFlushAfter());
+  work.tasks.reserve(from.getTasks().size());
+  for (const auto task : from.getTasks()) {
+    work.tasks.push_back({task.getAttempt(), text_of(task.getLeaf()),
+                          text_of(task.getShard()),
+                          {task.getRangeFrom(), task.getRangeTo()},
+                          task.getSnapshot()});
+  }
+  return work;
+}
+
+void write(const part_answer& from, wire::PartAnswer::Builder to) {
+  to.setPartId(from.part_id);
+  to.setPending(from.pending);
+  auto results = to.initResults(count_of(from.results.size()));
+  for (unsigned i = 0; i < results.size(); ++i) {
+    write(from.results[i], results[i]);
+  }
+}
+
+part_answer read(wire::PartAnswer::Reader from) {
+  part_answer answer;
+  answer.part_id = from.getPartId();
+  answer.pending = from.getPending();
+  answer.results.reserve(from.getResults().size());
+  for (const auto result : from.getResults()) {
+    answer.results.push_back(read(result));
+  }
+  return answer;
+}
+
+void write(const membership::message& from, wire::Message::Builder to) {
+  to.setKind(static_cast<std::uint8_t>(from.kind));
+  to.setSender(from.from);
+  to.setSequence(from.sequence);
+  to.setTarget(from.target);
+  to.setVersion(from.version);
+  to.setDigest(from.digest);
+  to.setRoot(from.root);
+  auto updates = to.initUpdates(count_of(from.updates.size()));
+  for (unsigned i = 0; i < updates.size(); ++i) {
+    write(from.updates[i], updates[i]);
+  }
+  auto held = to.initNotes(count_of(from.notes.size()));
+  for (unsigned i = 0; i < held.size(); ++i) {
+    held[i].setVersion(from.notes[i].version);
+    held[i].setBase(from.notes[i].base);
+    held[i].setText(from.notes[i].text);
+  }
+  auto words = to.initWords(count_of(from.words.size()));
+  for (unsigned i = 0; i < words.size(); ++i) write(from.words[i], words[i]);
+}
+
+membership::message read(wire::Message::Reader from) {
+  membership::message value;
+  value.kind = checked(from.getKind(), membership::message_kind::words);
+  value.from = text_of(from.getSender());
+  value.sequence = from.getSequence();
+  value.target = text_of(from.getTarget());
+  value.version = from.getVersion();
+  value.digest = from.getDigest();
+  value.root = text_of(from.getRoot());
+  value.updates.reserve(from.getUpdates().size());
+  for (const auto update : from.getUpdates()) {
+    value.updates.push_back(read(update));
+  }
+  for (const auto note : from.getNotes()) {
+    value.notes.push_back(
+        {note.getVersion(), note.getBase(), text_of(note.getText())});
+  }
+  for (const auto word : from.getWords()) value.words.push_back(read(word));
+  return value;
+}
+
+}  // namespace detail
+
+std::string encode(const membership::message& message) {
+  capnp::MallocMessageBuilder builder;
+  detail::write(message, builder.initRoot<wire::Message>());
+  const auto words = capnp::messageToFlatArray(builder);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+result<membership::message, wire_error> decode(std::string_view bytes) {
+  // Words must be aligned, which the text need not be.
+  auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+  std::copy_n(bytes.begin(), words.asBytes().size(),
+              reinterpret_cast<char*>(words.begin()));
+  try {
+    capnp::FlatArrayMessageReader reader(words);
+    return detail::read(reader.getRoot<wire::Message>());
+  } catch (const kj::Exception& error) {
+    return wire_error{wire_errc::malformed, error.getDescription().cStr()};
+  } catch (const std::exception& error) {
+    return wire_error{wire_errc::malformed, error.what()};
+  }
+}
+
+}  // namespace medlarloft::peers
--- /dev/null
+++ b/packages/peers/src/wire_codec.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+/// Turns the packages' own types into Cap'n Proto messages and back. Values
+/// out of range throw, as malformed messages do.
+
+#include "medlarloft/peers.hpp"
+#include "wire.capnp.h"
+
+namespace medlarloft::peers::detail {
+
+void write(const timeline::stamp& from, wire::Stamp::Builder to);
+timeline::stamp read(wire::Stamp::Reader from);
+
+void write(const part& from, wire::Part::Builder to);
+part read(wire::Part::Reader from);
+
+void write(const part_answer& from, wire::PartAnswer::Builder to);
+part_answer read(wire::PartAnswer::Reader from);
+
+void write(const membership::message& from, wire::Message::Builder to);
+membership::message read(wire::Message::Reader from);
+
+/// Returns the text of a Cap'n Proto text field.
+inline std::string text_of(capnp::Text::Reader from) {
+  return {from.cStr(), from.size()};
+}
+
+}  // namespace medlarloft::peers::detail
--- /dev/null
+++ b/packages/peers/tests/peers_test.cpp
@@ -0,0 +1,160 @@
+#include "medlarloft/peers.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <optional>
+#include <thread>
+
+namespace medlarloft::peers {
+namespace {
+
+using namespace std::chrono_literals;
+
+stamping no_clock() {
+  return {.tick = [] { return timeline::stamp{}; },
+          .merge = [](timeline::stamp) {}};
+}
+
+part sample_part() {
+  return {.request_id = "r1",
+          .service = "lease-desk",
+          .priority = notes::service_class::critical,
+          .body = "mast 7",
+          .remaining = 100ms,
+          .tasks = {{.attempt = 42,
+                     .leaf = "l1",
+                     .shard = "s1",
+                     .range = {0, 10},
+                     .snapshot = 7}}};
+}
+
+part_answer answer_for(const part& work) {
+  part_answer answer{.part_id = 9};
+  for (const part_task& task : work.tasks) {
+    answer.results.push_back(
+        {.attempt = task.attempt,
+         .answer = {task.snapshot, task.range, {{"row", 3, 0.5, "x"}}}});
+  }
+  return answer;
+}
+
+TEST(traffic, carries_a_part_and_its_answer) {
+  event_loop loop;
+  std::optional<peer_result<part_answer>> got;
+  std::optional<traffic_server> server;
+  std::optional<traffic_client> client;
+  loop.run(
+      [&] {
+        server.emplace(
+            std::vector<event_loop*>{&loop}, endpoint{"127.0.0.1", 17361},
+            [](std::size_t) {
+              return traffic_hooks{.run = [](const part& work, auto reply) {
+                reply(answer_for(work));
+              }};
+            },
+            no_clock());
+        ASSERT_TRUE(server->start().has_value());
+        client.emplace(
+            loop, traffic_client::options{.to = {"127.0.0.1", 17361}},
+            no_clock());
+        client->run(sample_part(), 1s, [&](auto answer) {
+          got = std::move(answer);
+          loop.stop();
+        });
+      },
+      [&] {
+        client.reset();
+        server->drop(0);
+        server.reset();
+      });
+  ASSERT_TRUE(got && got->has_value());
+  ASSERT_EQ(got->value().results.size(), 1U);
+  EXPECT_EQ(got->value().results[0].attempt, 42U);
+  EXPECT_EQ(got->value().results[0].answer.rows[0].id, "row");
+}
+
+TEST(traffic, reports_a_peer_that_never_answers_as_lost) {
+  event_loop loop;
+  std::optional<peer_error> first;
+  std::vector<std::function<void(part_answer)>> kept;
+  std::optional<traffic_server> server;
+  std::optional<traffic_client> client;
+  loop.run(
+      [&] {
+        server.emplace(
+            std::vector<event_loop*>{&loop}, endpoint{"127.0.0.1", 17362},
+            [&kept](std::size_t) {
+              return traffic_hooks{.run = [&kept](const part&, auto reply) {
+                kept.push_back(std::move(reply));
+              }};
+            },
+            no_clock());
+        ASSERT_TRUE(server->start().has_value());
+        client.emplace(
+            loop, traffic_client::options{.to = {"127.0.0.1", 17362}},
+            no_clock());
+        client->run(sample_part(), 50ms, [&](auto answer) {
+          first = answer.error();
+          loop.stop();
+        });
+      },
+      [&] {
+        client.reset();
+        server->drop(0);
+        server.reset();
+      });
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->code, peer_errc::lost);
+}
+
+TEST(traffic, reports_an_unreachable_peer_as_never_sent) {
+  event_loop loop;
+  std::optional<peer_error> error;
+  std::optional<traffic_client> client;
+  loop.run(
+      [&] {
+        client.emplace(
+            loop, traffic_client::options{.to = {"127.0.0.1", 17369}},
+            no_clock());
+        client->run(sample_part(), 1s, [&](auto answer) {
+          error = answer.error();
+          loop.stop();
+        });
+      },
+      [&] { client.reset(); });
+  ASSERT_TRUE(error);
+  EXPECT_EQ(error->code, peer_errc::not_connected);
+}
+
+TEST(control, round_trips_a_message) {
+  membership::message sent;
+  sent.kind = membership::message_kind::notes;
+  sent.from = "d1";
+  sent.version = 7;
+  sent.digest = 99;
+  sent.updates = {{"d2",
+                   "a",
+                   {"127.0.0.1", 5},
+                   3,
+                   membership::member_state::leaving}};
+  sent.notes = {{7, 6, "{}"}};
+  sent.words = {{.leaf = "l", .warm_start_id = "s", .age = 5ms,
+                 .leaving = true}};
+  const auto read = decode(encode(sent));
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(read.value().updates, sent.updates);
+  EXPECT_EQ(read.value().notes[0].text, "{}");
+  EXPECT_EQ(read.value().words[0].leaving, true);
+}
+
+TEST(control, refuses_malformed_bytes) {
+  EXPECT_FALSE(decode("nonsense, and not a message at all").has_value());
+  membership::message odd;
+  odd.kind = static_cast<membership::message_kind>(200);
+  EXPECT_FALSE(decode(encode(odd)).has_value());
+}
+
+}  // namespace
+}  // namespace medlarloft::peers
--- a/packages/query/include/medlarloft/query.hpp
+++ b/packages/query/include/medlarloft/query.hpp
@@ -122,7 +122,8 @@
 
 struct send_action {
   attempt_id attempt = 0;
-  std::size_t shard = 0;
+  /// The shard asked for; lives as long as the model.
+  const notes::shard* shard = nullptr;
   query::route route;
   snapshot_id snapshot = 0;
   attempt_kind kind{};
--- a/packages/query/src/execution.cpp
+++ b/packages/query/src/execution.cpp
@@ -62,7 +62,7 @@
   if (kind == attempt_kind::hedge) ++tally_.hedges;
   if (kind == attempt_kind::retry) ++tally_.retries;
   pending_.sends.push_back({.attempt = fresh.id,
-                            .shard = index,
+                            .shard = state.shard,
                             .route = *chosen,
                             .snapshot = gather_ ? gather_->pinned() : 0,
                             .kind = kind});
--- /dev/null
+++ b/packages/server/src/context.cpp
@@ -0,0 +1,58 @@
+#include "context.hpp"
+
+namespace medlarloft::server {
+
+wall_time wall_now() {
+  return std::chrono::time_point_cast<wall_time::duration>(
+      std::chrono::system_clock::now());
+}
+
+admission::once_verdict shared_ledger::show(const std::string& id,
+                                            wall_time issued) {
+  const std::lock_guard<std::mutex> guard(mutex_);
+  return ledger_.show(wall_now(), id, issued);
+}
+
+void shared_ledger::ended(const std::string& id, admission::known_state how,
+                          std::string answer) {
+  const std::lock_guard<std::mutex> guard(mutex_);
+  ledger_.ended(id, how, std::move(answer));
+}
+
+std::string shared_ledger::answer(const std::string& id) {
+  const std::lock_guard<std::mutex> guard(mutex_);
+  return ledger_.answer(id).value_or("");
+}
+
+void shared_ledger::own_from(wall_time since) {
+  const std::lock_guard<std::mutex> guard(mutex_);
+  ledger_.own_from(since);
+}
+
+daemon_context::daemon_context(settings::daemon_settings values)
+    : settings(std::move(values)),
+      events(settings.timeline_events),
+      ledger(admission::once_ledger(
+          {.repeat_window = settings.callers.repeat_window,
+           .max_skew = settings.callers.max_clock_skew},
+          wall_now())) {}
+
+void daemon_context::event(timeline::event_kind kind, std::string subject,
+                           std::string detail) {
+  logs::write(logs::level::info, timeline::name_of(kind),
+              {{"subject", subject}, {"detail", detail}});
+  events.add({.at = clock.tick(wall_now()),
+              .process = settings.id,
+              .kind = kind,
+              .subject = std::move(subject),
+              .detail = std::move(detail)});
+}
+
+peers::stamping daemon_context::stamping() {
+  return {.tick = [this] { return clock.tick(wall_now()); },
+          .merge = [this](timeline::stamp remote) {
+            clock.merge(wall_now(), remote);
+          }};
+}
+
+}  // namespace medlarloft::server
--- /dev/null
+++ b/packages/server/src/context.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+/// What all threads of a daemon share: settings, clock, time line, view, and
+/// the ledger of non-idempotent requests.
+
+#include <mutex>
+#include <string>
+
+#include "medlarloft/admission.hpp"
+#include "medlarloft/base.hpp"
+#include "medlarloft/peers.hpp"
+#include "medlarloft/settings.hpp"
+#include "medlarloft/timeline.hpp"
+#include "view.hpp"
+
+namespace medlarloft::server {
+
+/// Returns the wall clock's time.
+wall_time wall_now();
+
+/// The ledger behind a lock; requests reach it from every traffic thread.
+class shared_ledger {
+ public:
+  explicit shared_ledger(admission::once_ledger ledger)
+      : ledger_(std::move(ledger)) {}
+
+  admission::once_verdict show(const std::string& id, wall_time issued);
+  void ended(const std::string& id, admission::known_state how,
+             std::string answer);
+  std::string answer(const std::string& id);
+  void own_from(wall_time since);
+
+ private:
+  std::mutex mutex_;
+  admission::once_ledger ledger_;
+};
+
+struct daemon_context {
+  explicit daemon_context(settings::daemon_settings values);
+
+  /// Adds an event to the time line and the log.
+  void event(timeline::event_kind kind, std::string subject,
+             std::string detail = {});
+
+  peers::stamping stamping();
+
+  const settings::daemon_settings settings;
+  timeline::hybrid_clock clock;
+  timeline::ring events;
+  view_board board;
+  shared_ledger ledger;
+};
+
+}  // namespace medlarloft::server
