query: a relay's refusal is free, and near replicas come first

Cause: attempt tags of 64 bits were read as negative numbers from JSON and half of the answers were dropped as foreign; refusals by a relay, which no leaf saw, ate the retry budget; two ways drawn from all replicas took a far one for 40% of the shards. Change: tags keep to 53 bits; not_sent is a failure of its own that costs no budget and leaves the leaf open to its other home; two ways are drawn among the near ones and a far one only when they cost 1.5 times as much.

--- a/packages/peers/include/medlarloft/peers.hpp
+++ b/packages/peers/include/medlarloft/peers.hpp
@@ -81,7 +81,8 @@
 
 enum class task_ending : std::uint8_t {
   answered,
-  not_run,
+  not_sent,  // the relay refused; the leaf saw nothing
+  not_run,   // the leaf refused
   snapshot_gone,
   lost,
 };
--- a/packages/query/include/medlarloft/query.hpp
+++ b/packages/query/include/medlarloft/query.hpp
@@ -116,6 +116,8 @@
   leaf_index leaf = 0;
   /// The home daemon that talks to the leaf.
   daemon_index relay = 0;
+
+  friend bool operator==(const route&, const route&) = default;
 };
 
 enum class attempt_kind : std::uint8_t { first, retry, hedge };
@@ -161,7 +163,8 @@
 
 /// How an attempt failed.
 enum class failure : std::uint8_t {
-  not_run,        // refused before anything ran
+  not_sent,       // refused by the relay; the leaf saw nothing
+  not_run,        // refused by the leaf before anything ran
   snapshot_gone,  // the leaf does not hold the snapshot; nothing ran
   lost,           // nobody knows whether it ran
 };
@@ -173,11 +176,19 @@
   snapshot_id newest = 0;
 };
 
+/// What a shard need not be tried at again.
+struct tried_routes {
+  /// Leafs that were asked and have answered, or still may.
+  std::vector<leaf_index> leafs;
+  /// Ways that were refused before the leaf saw anything.
+  std::vector<route> refused;
+};
+
 /// Choices made outside of the execution.
 struct hooks {
-  /// Picks a replica and relay for a shard, none of `tried`.
+  /// Picks a replica and relay for a shard, none of those tried.
   std::function<std::optional<route>(const notes::shard& shard,
-                                     const std::vector<leaf_index>& tried)>
+                                     const tried_routes& tried)>
       pick;
   /// Takes a token for one more leaf request than needed; false: go without.
   std::function<bool(attempt_kind)> take_extra;
@@ -191,6 +202,8 @@
   /// How long an attempt is waited for before it is counted as lost.
   duration attempt_timeout = std::chrono::seconds(1);
   std::size_t max_attempts_per_shard = 4;
+  /// Ways that may refuse before the shard is given up.
+  std::size_t max_refusals_per_shard = 8;
   /// How often the query may start again on a newer snapshot.
   std::size_t max_reruns = 1;
   /// A rerun needs at least this much time before the deadline.
@@ -236,7 +249,7 @@
   struct shard_state {
     const notes::shard* shard = nullptr;
     std::vector<attempt> open;
-    std::vector<leaf_index> tried;
+    tried_routes tried;
     bool settled = false;
     bool may_have_run = false;
   };
@@ -248,7 +261,7 @@
   void select_shards();
   void send(time_point now, std::size_t index, attempt_kind kind);
   void settle_without(std::size_t index);
-  void retry_or_settle(time_point now, std::size_t index);
+  void retry_or_settle(time_point now, std::size_t index, bool costs = true);
   std::optional<located> find(attempt_id id);
   void drop_attempt(located where);
   void cancel_open(shard_state& state);
--- a/packages/query/src/execution.cpp
+++ b/packages/query/src/execution.cpp
@@ -55,7 +55,7 @@
   if (policy_.hedge_after && request_.idempotent) {
     fresh.hedge_at = now + *policy_.hedge_after;
   }
-  state.tried.push_back(chosen->leaf);
+  state.tried.leafs.push_back(chosen->leaf);
   state.open.push_back(fresh);
   shard_of_[fresh.id] = index;
   ++tally_.sent;
@@ -77,12 +77,15 @@
   return request_.idempotent || !state.may_have_run;
 }
 
-void execution::retry_or_settle(time_point now, std::size_t index) {
+void execution::retry_or_settle(time_point now, std::size_t index,
+                                bool costs) {
   shard_state& state = shards_[index];
   if (state.settled || !state.open.empty()) return;
-  const bool allowed = may_repeat(state) &&
-                       state.tried.size() < policy_.max_attempts_per_shard &&
-                       hooks_.take_extra(attempt_kind::retry);
+  const bool left =
+      state.tried.leafs.size() < policy_.max_attempts_per_shard &&
+      state.tried.refused.size() < policy_.max_refusals_per_shard;
+  const bool allowed = left && may_repeat(state) &&
+                       (!costs || hooks_.take_extra(attempt_kind::retry));
   if (!allowed) {
     settle_without(index);
     return;
@@ -140,7 +143,7 @@
     }
     // The pinned snapshot is asked for by name this time, so the same leaf
     // may serve it: an unpinned first round commonly ends here.
-    if (*problem == merge_problem::other_snapshot) state.tried.clear();
+    if (*problem == merge_problem::other_snapshot) state.tried = {};
     retry_or_settle(now, index);
   }
   check_done(now);
@@ -159,7 +162,18 @@
   if (finished_ || !where) return take(now);
   shard_state& state = *where->shard;
   const std::size_t index = shard_of_[attempt];
+  const route used = state.open[where->position].route;
   drop_attempt(*where);
+  if (how.how == failure::not_sent) {
+    // The leaf saw nothing, so another relay may still reach it, at no cost
+    // to any leaf.
+    std::erase(state.tried.leafs, used.leaf);
+    state.tried.refused.push_back(used);
+    last_reason_ = "relays refuse";
+    retry_or_settle(now, index, /*costs=*/false);
+    check_done(now);
+    return take(now);
+  }
   if (how.how == failure::lost) {
     state.may_have_run = true;
     ran_ = true;
--- a/packages/server/src/leaf_pool.cpp
+++ b/packages/server/src/leaf_pool.cpp
@@ -58,7 +58,7 @@
   const bool hopeless = closed_ || state_.leaving() || state_.limit() == 0 ||
                         now < unreachable_until_;
   if (hopeless) {
-    fail(work, peers::task_ending::not_run);
+    fail(work, peers::task_ending::not_sent);
     return;
   }
   const std::uint64_t id = ++next_id_;
@@ -68,7 +68,7 @@
   const std::optional<std::uint64_t> dropped = queue_.push(place);
   if (dropped) {
     const auto gone = waiting_.extract(*dropped);
-    fail(gone.mapped(), peers::task_ending::not_run);
+    fail(gone.mapped(), peers::task_ending::not_sent);
   }
   pump();
 }
@@ -80,7 +80,7 @@
   if (queued != waiting_.end()) {
     queue_.remove(queued->first);
     const auto gone = waiting_.extract(queued);
-    fail(gone.mapped(), peers::task_ending::not_run);
+    fail(gone.mapped(), peers::task_ending::not_sent);
     return;
   }
   const auto run = std::ranges::find_if(running_, [&](const auto& entry) {
@@ -124,7 +124,7 @@
   const time_point now = steady_clock::now();
   for (const std::uint64_t late : queue_.expire(now)) {
     const auto gone = waiting_.extract(late);
-    fail(gone.mapped(), peers::task_ending::not_run);
+    fail(gone.mapped(), peers::task_ending::not_sent);
   }
   while (queue_.size() > 0 && state_.may_start(now)) {
     const connection_ptr connection = take_idle();
@@ -301,7 +301,7 @@
 void leaf_pool::fail_queued() {
   while (const auto next = queue_.pop()) {
     const auto gone = waiting_.extract(next->id);
-    fail(gone.mapped(), peers::task_ending::not_run);
+    fail(gone.mapped(), peers::task_ending::not_sent);
   }
 }
 
--- a/packages/server/src/query_run.cpp
+++ b/packages/server/src/query_run.cpp
@@ -8,6 +8,8 @@
 
 /// A peer that is silent for this long after the deadline is given up.
 constexpr duration peer_grace = std::chrono::milliseconds(100);
+/// Tags keep to 53 bits, which every JSON reader holds exactly.
+constexpr int tag_shift = 11;
 /// A relay answers with what has ended after this share of the hedge delay.
 constexpr double flush_share = 0.8;
 
@@ -15,6 +17,8 @@
   switch (how) {
     case peers::task_ending::answered:
       return std::nullopt;
+    case peers::task_ending::not_sent:
+      return query::failure::not_sent;
     case peers::task_ending::not_run:
       return query::failure::not_run;
     case peers::task_ending::snapshot_gone:
@@ -40,7 +44,7 @@
 query::hooks query_run::make_hooks() {
   return {.pick =
               [this](const notes::shard& shard,
-                     const std::vector<notes::leaf_index>& tried) {
+                     const query::tried_routes& tried) {
                 return owner_.choice_.pick(steady_clock::now(), *view_, shard,
                                            tried);
               },
@@ -48,7 +52,7 @@
               [this](query::attempt_kind kind) {
                 return owner_.take_extra(kind);
               },
-          .new_attempt = [this] { return owner_.random_(); }};
+          .new_attempt = [this] { return owner_.random_() >> tag_shift; }};
 }
 
 void query_run::start() { carry_out(execution_.start(steady_clock::now())); }
@@ -210,7 +214,7 @@
   for (const query::attempt_id attempt : affected) {
     task_ended({.attempt = attempt,
                 .how = sent ? peers::task_ending::lost
-                            : peers::task_ending::not_run});
+                            : peers::task_ending::not_sent});
   }
 }
 
--- a/packages/server/src/relay.cpp
+++ b/packages/server/src/relay.cpp
@@ -56,7 +56,7 @@
   const auto found = pools_.find(leaf);
   if (found == pools_.end()) {
     done({.attempt = task.request.attempt,
-          .how = peers::task_ending::not_run});
+          .how = peers::task_ending::not_sent});
     return;
   }
   found->second->submit(std::move(task), std::move(done));
--- a/packages/server/src/replica_choice.hpp
+++ b/packages/server/src/replica_choice.hpp
@@ -28,11 +28,12 @@
   replica_choice(options settings, std::uint64_t seed)
       : options_(settings), random_(seed) {}
 
-  /// Picks two of the usable ways at random and takes the cheaper: the one
-  /// with the lower product of latency and requests in flight.
+  /// Draws two of the near ways at random and takes the cheaper: the one
+  /// with the lower product of latency and requests in flight. A far way is
+  /// taken when the near one costs clearly more.
   std::optional<query::route> pick(time_point now, const view& current,
                                    const notes::shard& shard,
-                                   const std::vector<notes::leaf_index>& tried);
+                                   const query::tried_routes& tried);
 
   void sent(const view& current, const query::route& route);
   void ended(time_point now, const view& current, const query::route& route,
@@ -48,12 +49,16 @@
     query::route route;
     double cost = 0;
     bool avoided = false;
+    bool near = false;
   };
 
   way& way_of(const view& current, const query::route& route);
   void add_candidates(time_point now, const view& current,
                       notes::leaf_index leaf,
+                      const query::tried_routes& tried,
                       std::vector<candidate>& candidates);
+  std::optional<candidate> cheaper_of_two(
+      const std::vector<candidate>& candidates, bool near);
 
   options options_;
   random_stream random_;
