--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "load.hpp"
+#include "record_check.hpp"
 
 ABSL_FLAG(std::vector<std::string>, start, {}, "callers' addresses to begin");
 ABSL_FLAG(std::string, data_centre, "", "the callers' data centre");
@@ -20,6 +21,10 @@
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the mix");
 ABSL_FLAG(std::string, json, "", "file for the figures as JSON");
 ABSL_FLAG(bool, table, true, "print the table");
+ABSL_FLAG(std::string, record, "",
+          "the stand-ins' steering address; compares with what really ran");
+ABSL_FLAG(std::string, started_in, "",
+          "only print how many leaf requests began in this data centre");
 ABSL_FLAG(bool, retry_not_run, true, "send a refused query once more");
 
 namespace {
@@ -96,6 +101,14 @@
                               .seed = absl::GetFlag(FLAGS_seed),
                               .retry_not_run =
                                   absl::GetFlag(FLAGS_retry_not_run)};
+  if (const std::string centre = absl::GetFlag(FLAGS_started_in);
+      !centre.empty()) {
+    const auto address = parse_endpoint(absl::GetFlag(FLAGS_record));
+    if (!address) return refuse("--record: " + address.error().text);
+    std::printf("%llu\n", static_cast<unsigned long long>(
+                              bench::started_in(address.value(), centre)));
+    return 0;
+  }
   const auto length = parse_duration(absl::GetFlag(FLAGS_length));
   if (!length) return refuse("--length: " + length.error().text);
   options.length = length.value();
@@ -124,6 +137,14 @@
     sound = sound && seen.lost == 0 && seen.wrong == 0;
     if (absl::GetFlag(FLAGS_table)) print_row(name, all[name]);
   }
+  if (const std::string at = absl::GetFlag(FLAGS_record); !at.empty()) {
+    const auto address = parse_endpoint(at);
+    if (!address) return refuse("--record: " + address.error().text);
+    const bench::record_figures truth =
+        bench::check_record(address.value(), load.once());
+    bench::print(truth);
+    sound = sound && truth.sound();
+  }
   if (const std::string path = absl::GetFlag(FLAGS_json); !path.empty()) {
     json once = json::object();
     for (const auto& [id, kind] : load.once()) {
--- a/fakes/leaf_fake.hpp
+++ b/fakes/leaf_fake.hpp
@@ -69,6 +69,9 @@
   leaf_faults& faults() noexcept { return faults_; }
 
   const std::string& id() const noexcept { return options_.config.id; }
+  std::uint32_t connections() const noexcept {
+    return options_.config.connections;
+  }
   const std::string& data_centre() const noexcept {
     return options_.config.data_centre;
   }
--- a/fakes/main.cpp
+++ b/fakes/main.cpp
@@ -204,7 +204,8 @@
                      {"most_in_flight_cold", seen.most_in_flight_cold},
                      {"cold_overloads", seen.cold_overloads},
                      {"slot_overloads", seen.slot_overloads},
-                     {"most_connections", seen.most_connections}});
+                     {"most_connections", seen.most_connections},
+                     {"connections", leaf->connections()}});
     for (const auto& [id, count] : leaf->once_runs()) once[id] += count;
   }
   json runs = json::object();
--- a/packages/admission/include/medlarloft/admission.hpp
+++ b/packages/admission/include/medlarloft/admission.hpp
@@ -131,6 +131,7 @@
   unknown,  // an earlier owner may have run it
   expired,  // issued too long ago to be told from a repetition
   early,    // issued in the future, beyond the allowed skew
+  full,     // no room to remember it; surely not run
 };
 std::string_view name_of(once_verdict what) noexcept;
 
@@ -148,12 +149,14 @@
     std::size_t capacity = 100'000;
   };
 
-  /// `owner_since`: the wall time from which no other owner can run requests.
-  once_ledger(options settings, wall_time owner_since)
-      : options_(settings), owner_since_(owner_since) {}
+  /// `remembers_since`: when this ledger began; earlier ends are not known.
+  once_ledger(options settings, wall_time remembers_since)
+      : options_(settings), remembers_since_(remembers_since) {}
 
   /// Shows a request; `run` enters it, and the caller must report its end.
-  once_verdict show(wall_time now, const std::string& id, wall_time issued);
+  /// `owner_since`: from when on no other daemon can have run the id.
+  once_verdict show(wall_time now, const std::string& id, wall_time issued,
+                    wall_time owner_since);
 
   /// Reports the end. A request that surely did not run may be shown again.
   void ended(const std::string& id, known_state how, std::string answer);
@@ -161,9 +164,6 @@
   /// Returns the kept answer of a request that ended.
   std::optional<std::string> answer(const std::string& id) const;
 
-  /// Starts a new time as the owner, as after a change of the fleet.
-  void own_from(wall_time since);
-
   std::size_t size() const noexcept { return known_.size(); }
 
  private:
@@ -175,7 +175,7 @@
   void expire(wall_time now);
 
   options options_;
-  wall_time owner_since_;
+  wall_time remembers_since_;
   std::map<std::string, entry> known_;
 };
 
--- a/packages/admission/src/once.cpp
+++ b/packages/admission/src/once.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 
 #include "medlarloft/admission.hpp"
@@ -5,8 +6,8 @@
 namespace medlarloft::admission {
 namespace {
 
-constexpr std::array<std::string_view, 6> verdict_names{
-    "run", "repeat", "running", "unknown", "expired", "early"};
+constexpr std::array<std::string_view, 7> verdict_names{
+    "run", "repeat", "running", "unknown", "expired", "early", "full"};
 
 std::chrono::microseconds micros(duration value) {
   return std::chrono::duration_cast<std::chrono::microseconds>(value);
@@ -29,7 +30,7 @@
 }
 
 once_verdict once_ledger::show(wall_time now, const std::string& id,
-                               wall_time issued) {
+                               wall_time issued, wall_time owner_since) {
   const auto found = known_.find(id);
   if (found != known_.end()) {
     if (found->second.state == known_state::running) {
@@ -44,11 +45,12 @@
   if (issued + micros(options_.repeat_window) < now) {
     return once_verdict::expired;
   }
-  if (issued < owner_since_ + micros(options_.max_skew)) {
+  const wall_time since = std::max(owner_since, remembers_since_);
+  if (issued < since + micros(options_.max_skew)) {
     return once_verdict::unknown;
   }
   if (known_.size() >= options_.capacity) expire(now);
-  if (known_.size() >= options_.capacity) return once_verdict::early;
+  if (known_.size() >= options_.capacity) return once_verdict::full;
   known_.emplace(id, entry{known_state::running, issued, {}});
   return once_verdict::run;
 }
@@ -71,6 +73,4 @@
   return found->second.answer;
 }
 
-void once_ledger::own_from(wall_time since) { owner_since_ = since; }
-
 }  // namespace medlarloft::admission
--- a/packages/peers/src/connection.hpp
+++ b/packages/peers/src/connection.hpp
@@ -110,11 +110,22 @@
       return;
     }
     link_ = std::make_shared<link>(make_stream(std::move(socket)));
+    watch(link_);
     for (queued& one : calls) {
       issue(std::move(one.make), one.silence, std::move(one.failed));
     }
   }
 
+  // Notices a peer that goes away while nothing is asked of it, so that the
+  // next call finds no dead connection.
+  void watch(const std::weak_ptr<link>& opened) {
+    const auto current = opened.lock();
+    tasks_.add(current->rpc.onDisconnect().then([this, opened] {
+      const auto gone = opened.lock();
+      if (gone && gone == link_) close();
+    }));
+  }
+
   void issue(call make, duration silence, call_failed failed) {
     if (!link_) {
       failed({peer_errc::not_connected, "connection closed before the call"});
--- a/packages/placement/include/medlarloft/placement.hpp
+++ b/packages/placement/include/medlarloft/placement.hpp
@@ -155,4 +155,31 @@
 std::optional<daemon_index> owner_of(const notes::fleet_model& model,
                                      std::string_view request_id);
 
+/// Remembers which fleets were published lately, to tell since when a daemon
+/// has been the owner of a request id without a break.
+class ownership_history {
+ public:
+  /// `kept_for`: how far back requests may have been issued.
+  explicit ownership_history(duration kept_for) : kept_for_(kept_for) {}
+
+  /// Takes a fleet that is in force from `at` on. What it newly owns, a daemon
+  /// may run after the hold-off, when every other has given it up.
+  void add(wall_time at, duration hold_off, notes::model_ptr model);
+
+  /// Returns since when `self` alone may run the id, or nothing when it is
+  /// not the owner now.
+  std::optional<wall_time> owner_since(std::string_view self,
+                                       std::string_view request_id) const;
+
+ private:
+  struct era {
+    wall_time gains_from;
+    wall_time began;
+    notes::model_ptr model;
+  };
+  duration kept_for_;
+  /// Oldest first; never empty after the first fleet.
+  std::vector<era> eras_;
+};
+
 }  // namespace medlarloft::placement
--- a/packages/placement/src/addresses.cpp
+++ b/packages/placement/src/addresses.cpp
@@ -68,4 +68,27 @@
   return best;
 }
 
+void ownership_history::add(wall_time at, duration hold_off,
+                            notes::model_ptr model) {
+  const auto micros = [](duration value) {
+    return std::chrono::duration_cast<wall_time::duration>(value);
+  };
+  eras_.push_back({at + micros(hold_off), at, std::move(model)});
+  // The newest era that began before the window still says who owned then.
+  while (eras_.size() > 1 && eras_[1].began + micros(kept_for_) < at) {
+    eras_.erase(eras_.begin());
+  }
+}
+
+std::optional<wall_time> ownership_history::owner_since(
+    std::string_view self, std::string_view request_id) const {
+  std::optional<wall_time> since;
+  for (auto era = eras_.rbegin(); era != eras_.rend(); ++era) {
+    const auto owner = owner_of(*era->model, request_id);
+    if (!owner || era->model->daemons[*owner].id != self) break;
+    since = era->gains_from;
+  }
+  return since;
+}
+
 }  // namespace medlarloft::placement
--- a/packages/server/src/context.cpp
+++ b/packages/server/src/context.cpp
@@ -10,7 +10,10 @@
 admission::once_verdict shared_ledger::show(const std::string& id,
                                             wall_time issued) {
   const std::lock_guard<std::mutex> guard(mutex_);
-  return ledger_.show(wall_now(), id, issued);
+  const auto since = owners_.owner_since(self_, id);
+  // Not the owner after all: another view came into force meanwhile.
+  if (!since) return admission::once_verdict::unknown;
+  return ledger_.show(wall_now(), id, issued, *since);
 }
 
 void shared_ledger::ended(const std::string& id, admission::known_state how,
@@ -24,18 +27,21 @@
   return ledger_.answer(id).value_or("");
 }
 
-void shared_ledger::own_from(wall_time since) {
+void shared_ledger::fleet_changed(duration hold_off,
+                                  notes::model_ptr model) {
   const std::lock_guard<std::mutex> guard(mutex_);
-  ledger_.own_from(since);
+  owners_.add(wall_now(), hold_off, std::move(model));
 }
 
 daemon_context::daemon_context(settings::daemon_settings values)
     : settings(std::move(values)),
       events(settings.timeline_events),
-      ledger(admission::once_ledger(
-          {.repeat_window = settings.callers.repeat_window,
-           .max_skew = settings.callers.max_clock_skew},
-          wall_now())) {}
+      ledger(settings.id,
+             admission::once_ledger(
+                 {.repeat_window = settings.callers.repeat_window,
+                  .max_skew = settings.callers.max_clock_skew},
+                 wall_now()),
+             placement::ownership_history(settings.callers.repeat_window)) {}
 
 void daemon_context::event(timeline::event_kind kind, std::string subject,
                            std::string detail) {
--- a/packages/server/src/context.hpp
+++ b/packages/server/src/context.hpp
@@ -9,6 +9,7 @@
 #include "medlarloft/admission.hpp"
 #include "medlarloft/base.hpp"
 #include "medlarloft/peers.hpp"
+#include "medlarloft/placement.hpp"
 #include "medlarloft/settings.hpp"
 #include "medlarloft/timeline.hpp"
 #include "view.hpp"
@@ -18,21 +19,27 @@
 /// Returns the wall clock's time.
 wall_time wall_now();
 
-/// The ledger behind a lock; requests reach it from every traffic thread.
+/// The ledger and the history of ownership behind a lock; requests reach them
+/// from every traffic thread.
 class shared_ledger {
  public:
-  explicit shared_ledger(admission::once_ledger ledger)
-      : ledger_(std::move(ledger)) {}
+  shared_ledger(std::string self, admission::once_ledger ledger,
+                placement::ownership_history owners)
+      : self_(std::move(self)),
+        ledger_(std::move(ledger)),
+        owners_(std::move(owners)) {}
 
   admission::once_verdict show(const std::string& id, wall_time issued);
   void ended(const std::string& id, admission::known_state how,
              std::string answer);
   std::string answer(const std::string& id);
-  void own_from(wall_time since);
+  void fleet_changed(duration hold_off, notes::model_ptr model);
 
  private:
   std::mutex mutex_;
+  std::string self_;
   admission::once_ledger ledger_;
+  placement::ownership_history owners_;
 };
 
 struct daemon_context {
--- a/packages/server/src/control.cpp
+++ b/packages/server/src/control.cpp
@@ -189,9 +189,8 @@
                  std::to_string(model.version), "from " + source);
   note_centres(*before);
   if (!same_daemons(*before, model)) {
-    const auto hold_off = std::chrono::duration_cast<wall_time::duration>(
-        context_.settings.control.hold_off);
-    context_.ledger.own_from(wall_now() + hold_off);
+    context_.ledger.fleet_changed(context_.settings.control.hold_off,
+                                  store_.model());
   }
   homes_ = std::make_shared<placement::home_table>(model, *before, *homes_);
   std::vector<membership::member_record> published;
--- a/packages/server/src/entry.cpp
+++ b/packages/server/src/entry.cpp
@@ -235,6 +235,10 @@
       refuse(work, front::outcome_kind::invalid,
              "issued_at_ms: " + std::string(admission::name_of(verdict)));
       return;
+    case admission::once_verdict::full:
+      refuse(work, front::outcome_kind::not_run, "too many requests to "
+             "remember", default_retry_after);
+      return;
     case admission::once_verdict::running:
     case admission::once_verdict::unknown:
       refuse(work, front::outcome_kind::unknown,
