--- a/apps/medlarloft/main.cpp
+++ b/apps/medlarloft/main.cpp
@@ -33,8 +33,7 @@
   std::vector<std::string> arguments(rest.begin() + 1, rest.end());
   client::options settings{.json = absl::GetFlag(FLAGS_json),
                            .out = absl::GetFlag(FLAGS_out)};
-  const auto timeout =
-      medlarloft::parse_duration(absl::GetFlag(FLAGS_timeout));
+  const auto timeout = medlarloft::parse_duration(absl::GetFlag(FLAGS_timeout));
   if (!timeout) return refuse("--timeout: " + timeout.error().text);
   settings.timeout = timeout.value();
   for (const std::string& text : absl::GetFlag(FLAGS_daemons)) {
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -29,8 +29,8 @@
   if (latencies.empty()) return duration::zero();
   const auto at = static_cast<std::size_t>(
       share * static_cast<double>(latencies.size() - 1));
-  std::ranges::nth_element(
-      latencies, latencies.begin() + static_cast<std::ptrdiff_t>(at));
+  std::ranges::nth_element(latencies,
+                           latencies.begin() + static_cast<std::ptrdiff_t>(at));
   return latencies[at];
 }
 
@@ -41,8 +41,7 @@
       address_timer_(loop_) {}
 
 void load::run() {
-  const double seconds =
-      std::chrono::duration<double>(options_.length).count();
+  const double seconds = std::chrono::duration<double>(options_.length).count();
   total_ = static_cast<std::uint64_t>(options_.rate * seconds);
   refresh_addresses(0);
   loop_.run();
@@ -102,9 +101,9 @@
     return;
   }
   const time_point intended =
-      began_ + std::chrono::duration_cast<duration>(
-                   std::chrono::duration<double>(
-                       static_cast<double>(index) / options_.rate));
+      began_ +
+      std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+          static_cast<double>(index) / options_.rate));
   send_timer_.expires_at(intended);
   send_timer_.async_wait([this, index, intended](const auto&) {
     const mix_entry& kind = choose();
@@ -157,16 +156,16 @@
 
 void load::send_on(const std::shared_ptr<call>& one, const endpoint& to,
                    const connection_ptr& connection) {
-  connection->exchange(
-      {.method = "POST",
-       .target = "/v1/query",
-       .body = front::write_query(one->query)},
-      options_.caller_timeout,
-      [this, one, to,
-       connection](const net::net_result<net::http_response>& answer) {
-        if (connection->usable()) idle_[to].push_back(connection);
-        take(one, answer);
-      });
+  connection->exchange({.method = "POST",
+                        .target = "/v1/query",
+                        .body = front::write_query(one->query)},
+                       options_.caller_timeout,
+                       [this, one, to, connection](
+                           const net::net_result<net::http_response>& answer) {
+                         if (connection->usable())
+                           idle_[to].push_back(connection);
+                         take(one, answer);
+                       });
 }
 
 void load::take(const std::shared_ptr<call>& one,
@@ -201,8 +200,7 @@
   finish(one, read.value());
 }
 
-bool load::is_wrong(const call& one,
-                    const front::caller_answer& answer) const {
+bool load::is_wrong(const call& one, const front::caller_answer& answer) const {
   if (answer.request_id != one.query.request_id) return true;
   if (answer.outcome != front::outcome_kind::answered) return false;
   if (answer.coverage.covered > answer.coverage.total) return true;
--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -59,8 +59,7 @@
 }
 
 json to_json(const bench::load_figures& seen) {
-  const double answered =
-      static_cast<double>(seen.complete + seen.partial);
+  const double answered = static_cast<double>(seen.complete + seen.partial);
   return {{"sent", seen.sent},
           {"complete", seen.complete},
           {"partial", seen.partial},
@@ -77,17 +76,18 @@
 }
 
 void print_row(const std::string& name, const json& row) {
-  std::printf("%-28s %7llu %7llu %7llu %7llu %7llu %5llu %5llu %8.4f %8.2f "
-              "%8.2f %8.2f\n",
-              name.c_str(), row["sent"].get<unsigned long long>(),
-              row["complete"].get<unsigned long long>(),
-              row["partial"].get<unsigned long long>(),
-              row["not_run"].get<unsigned long long>(),
-              row["unknown"].get<unsigned long long>(),
-              row["lost"].get<unsigned long long>(),
-              row["wrong"].get<unsigned long long>(),
-              row["coverage"].get<double>(), row["p50_ms"].get<double>(),
-              row["p99_ms"].get<double>(), row["p999_ms"].get<double>());
+  std::printf(
+      "%-28s %7llu %7llu %7llu %7llu %7llu %5llu %5llu %8.4f %8.2f "
+      "%8.2f %8.2f\n",
+      name.c_str(), row["sent"].get<unsigned long long>(),
+      row["complete"].get<unsigned long long>(),
+      row["partial"].get<unsigned long long>(),
+      row["not_run"].get<unsigned long long>(),
+      row["unknown"].get<unsigned long long>(),
+      row["lost"].get<unsigned long long>(),
+      row["wrong"].get<unsigned long long>(), row["coverage"].get<double>(),
+      row["p50_ms"].get<double>(), row["p99_ms"].get<double>(),
+      row["p999_ms"].get<double>());
 }
 
 }  // namespace
@@ -95,12 +95,12 @@
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage("An open-loop load of callers.");
   absl::ParseCommandLine(argc, argv);
-  bench::load_options options{.data_centre = absl::GetFlag(FLAGS_data_centre),
-                              .name = absl::GetFlag(FLAGS_name),
-                              .rate = absl::GetFlag(FLAGS_rate),
-                              .seed = absl::GetFlag(FLAGS_seed),
-                              .retry_not_run =
-                                  absl::GetFlag(FLAGS_retry_not_run)};
+  bench::load_options options{
+      .data_centre = absl::GetFlag(FLAGS_data_centre),
+      .name = absl::GetFlag(FLAGS_name),
+      .rate = absl::GetFlag(FLAGS_rate),
+      .seed = absl::GetFlag(FLAGS_seed),
+      .retry_not_run = absl::GetFlag(FLAGS_retry_not_run)};
   if (const std::string centre = absl::GetFlag(FLAGS_started_in);
       !centre.empty()) {
     const auto address = parse_endpoint(absl::GetFlag(FLAGS_record));
--- a/bench/record_check.cpp
+++ b/bench/record_check.cpp
@@ -16,8 +16,7 @@
 std::optional<json> fetch_record(const endpoint& steering) {
   net::io_context loop;
   std::optional<json> record;
-  net::http_fetch(loop, {.to = steering}, {.target = "/record"},
-                  record_timeout,
+  net::http_fetch(loop, {.to = steering}, {.target = "/record"}, record_timeout,
                   [&record](const net::net_result<net::http_response>& got) {
                     if (!got) return;
                     json read = json::parse(got.value().body, nullptr, false);
@@ -49,7 +48,8 @@
   const std::optional<json> record = fetch_record(steering);
   if (!record) return figures;
   figures.reached = true;
-  for (const json& leaf : record->at("leafs")) add_leaf(leaf, figures);
+  for (const json& leaf : record->at("leafs"))
+    add_leaf(leaf, figures);
   const json& runs = record->at("once_runs");
   for (const auto& [id, kind] : told) {
     const std::uint64_t ran =
@@ -91,9 +91,8 @@
       "%llu, slot overloads %llu, servers over their connections %llu\n",
       number(figures.leaf_requests), number(figures.shed),
       number(figures.doubled), number(figures.ran_though_not_run),
-      number(figures.answered_though_never_run),
-      number(figures.cold_overloads), number(figures.slot_overloads),
-      number(figures.over_connections));
+      number(figures.answered_though_never_run), number(figures.cold_overloads),
+      number(figures.slot_overloads), number(figures.over_connections));
 }
 
 }  // namespace medlarloft::bench
--- a/fakes/leaf_fake.cpp
+++ b/fakes/leaf_fake.cpp
@@ -79,8 +79,7 @@
   return seen;
 }
 
-void leaf_fake::handle(const net::http_request& request,
-                       net::respond answer) {
+void leaf_fake::handle(const net::http_request& request, net::respond answer) {
   if (server_) {
     record_.most_connections =
         std::max(record_.most_connections, server_->open_connections());
@@ -126,8 +125,8 @@
         {.body = front::write_leaf_reply(reply_to(work->request, outcome))});
   };
   const front::leaf_request& wanted = work->request;
-  const bool held = wanted.snapshot == 0 || (wanted.snapshot >= oldest_ &&
-                                             wanted.snapshot <= newest_);
+  const bool held = wanted.snapshot == 0 ||
+                    (wanted.snapshot >= oldest_ && wanted.snapshot <= newest_);
   if (leaving_) return refuse(front::leaf_outcome::leaving);
   if (!held) return refuse(front::leaf_outcome::gone);
   if (in_flight_ >= options_.config.slots + inner_queue) {
@@ -140,9 +139,9 @@
 duration leaf_fake::work_time(const front::leaf_request& request) {
   // An exponential spread around the usual time.
   const double spread = -std::log(1.0 - random_.unit());
-  duration time = options_.work_time / 2 +
-                  std::chrono::duration_cast<duration>(options_.work_time *
-                                                       (spread / 2));
+  duration time =
+      options_.work_time / 2 +
+      std::chrono::duration_cast<duration>(options_.work_time * (spread / 2));
   if (cold_) time *= cold_slowness;
   time += faults_.slow;
   if (faults_.straggle_every > 0 &&
@@ -172,8 +171,8 @@
   work->timer.expires_after(std::min(time, work->request.deadline));
   work->timer.async_wait([this, work, late](const auto& cancelled) {
     if (cancelled || work->ended) return;
-    finish(work, late ? front::leaf_outcome::late
-                      : front::leaf_outcome::answered);
+    finish(work,
+           late ? front::leaf_outcome::late : front::leaf_outcome::answered);
   });
 }
 
@@ -202,9 +201,8 @@
       request.snapshot == 0 ? newest_ : request.snapshot;
   reply.answer.snapshot = snapshot;
   reply.answer.range = request.range;
-  const std::uint64_t step =
-      std::max<std::uint64_t>(1, request.range.size() /
-                                     (options_.rows_per_shard + 1));
+  const std::uint64_t step = std::max<std::uint64_t>(
+      1, request.range.size() / (options_.rows_per_shard + 1));
   for (std::uint32_t i = 1; i <= options_.rows_per_shard; ++i) {
     const std::uint64_t at = request.range.from + step * i;
     if (at >= request.range.to) break;
--- a/fakes/leaf_fake.hpp
+++ b/fakes/leaf_fake.hpp
@@ -87,8 +87,7 @@
   void query(const net::http_request& request, net::respond answer);
   void cancel(const net::http_request& request, const net::respond& answer);
   void run(const std::shared_ptr<job>& work);
-  void finish(const std::shared_ptr<job>& work,
-              front::leaf_outcome outcome);
+  void finish(const std::shared_ptr<job>& work, front::leaf_outcome outcome);
   front::leaf_reply reply_to(const front::leaf_request& request,
                              front::leaf_outcome outcome) const;
   void fill_rows(const front::leaf_request& request,
--- a/fakes/link_fake.cpp
+++ b/fakes/link_fake.cpp
@@ -49,8 +49,7 @@
   void read(direction& way) {
     way.from.async_read_some(
         asio::buffer(way.buffer),
-        [self = shared_from_this(), &way](error_code failed,
-                                          std::size_t got) {
+        [self = shared_from_this(), &way](error_code failed, std::size_t got) {
           if (failed) {
             way.ended = true;
             self->write_next(way);
@@ -116,8 +115,8 @@
     acceptor_.set_option(tcp::acceptor::reuse_address(true), failed);
   }
   if (!failed) acceptor_.bind(at, failed);
-  if (!failed) acceptor_.listen(asio::socket_base::max_listen_connections,
-                                failed);
+  if (!failed)
+    acceptor_.listen(asio::socket_base::max_listen_connections, failed);
   if (failed) return failed.message();
   accept_next();
   return outcome::success();
--- a/fakes/main.cpp
+++ b/fakes/main.cpp
@@ -25,8 +25,7 @@
 ABSL_FLAG(std::string, hosts, "127.0.0.1:6001", "address of the host list");
 ABSL_FLAG(std::string, steer, "127.0.0.1:6002", "address of the steering page");
 ABSL_FLAG(std::string, leaf_time, "2ms", "usual time of a leaf request");
-ABSL_FLAG(std::string, link_delay, "4ms",
-          "one-way delay between data centres");
+ABSL_FLAG(std::string, link_delay, "4ms", "one-way delay between data centres");
 ABSL_FLAG(int, link_port_offset, 1000,
           "a published peers address listens this far below its target");
 
@@ -77,11 +76,10 @@
       flags_(std::move(values)),
       model_(std::move(model)),
       platform_(loop, flags_.folder, flags_.configuration, flags_.hosts),
-      steering_({&loop}, {.listen = flags_.steer},
-                [this](std::size_t, const net::http_request& request,
-                       const net::respond& answer) {
-                  steer(request, answer);
-                }) {
+      steering_(
+          {&loop}, {.listen = flags_.steer},
+          [this](std::size_t, const net::http_request& request,
+                 const net::respond& answer) { steer(request, answer); }) {
   for (const notes::daemon_entry& daemon : model_->daemons) {
     centre_of_ip_[daemon.callers.ip] = daemon.data_centre;
   }
@@ -183,7 +181,8 @@
   const std::string heal = front::parameter(target, "heal");
   if (!cut.empty()) cut_.insert(cut);
   if (!silent.empty()) silent_.insert(silent);
-  for (const auto& link : links_) link->apply();
+  for (const auto& link : links_)
+    link->apply();
   // Silence holds open connections only; new ones work.
   silent_.clear();
   if (!heal.empty()) cut_.erase(heal);
@@ -206,10 +205,12 @@
                      {"slot_overloads", seen.slot_overloads},
                      {"most_connections", seen.most_connections},
                      {"connections", leaf->connections()}});
-    for (const auto& [id, count] : leaf->once_runs()) once[id] += count;
+    for (const auto& [id, count] : leaf->once_runs())
+      once[id] += count;
   }
   json runs = json::object();
-  for (const auto& [id, count] : once) runs[id] = count;
+  for (const auto& [id, count] : once)
+    runs[id] = count;
   return json{{"leafs", leafs},
               {"once_runs", runs},
               {"configuration_reads", platform_.reads()}}
@@ -249,8 +250,7 @@
   absl::ParseCommandLine(argc, argv);
   flags values{.folder = absl::GetFlag(FLAGS_folder),
                .note = absl::GetFlag(FLAGS_note)};
-  const auto configuration =
-      parse_endpoint(absl::GetFlag(FLAGS_configuration));
+  const auto configuration = parse_endpoint(absl::GetFlag(FLAGS_configuration));
   const auto hosts = parse_endpoint(absl::GetFlag(FLAGS_hosts));
   const auto steer = parse_endpoint(absl::GetFlag(FLAGS_steer));
   const auto leaf_time = parse_duration(absl::GetFlag(FLAGS_leaf_time));
--- a/fakes/platform_fake.cpp
+++ b/fakes/platform_fake.cpp
@@ -45,11 +45,10 @@
           {&loop}, {.listen = configuration},
           [this](std::size_t, const net::http_request& request,
                  net::respond answer) { value(request, std::move(answer)); }),
-      host_server_({&loop}, {.listen = hosts},
-                   [this](std::size_t, const net::http_request&,
-                          const net::respond& answer) {
-                     this->hosts(answer);
-                   }) {}
+      host_server_(
+          {&loop}, {.listen = hosts},
+          [this](std::size_t, const net::http_request&,
+                 const net::respond& answer) { this->hosts(answer); }) {}
 
 net::net_result<void> platform_fake::start() {
   BOOST_OUTCOME_TRYV(configuration_server_.start());
@@ -66,8 +65,7 @@
 }
 
 std::string platform_fake::load(const std::string& key) {
-  const std::string& folder =
-      fault_ == fault::stale ? frozen_folder_ : folder_;
+  const std::string& folder = fault_ == fault::stale ? frozen_folder_ : folder_;
   return read_all(folder + "/" + key);
 }
 
@@ -81,8 +79,7 @@
   auto pending = std::make_shared<watch>(loop_);
   pending->answer = std::move(answer);
   pending->tag = front::parameter(request.target, "tag");
-  const auto wait =
-      parse_duration(front::parameter(request.target, "wait"));
+  const auto wait = parse_duration(front::parameter(request.target, "wait"));
   pending->until =
       steady_clock::now() + (wait ? wait.value() : duration::zero());
   const std::string path = request.target.substr(0, request.target.find('?'));
@@ -94,9 +91,8 @@
     return;
   }
   pending->timer.expires_after(slow_answer);
-  pending->timer.async_wait([this, pending](const auto&) {
-    watch_value(pending);
-  });
+  pending->timer.async_wait(
+      [this, pending](const auto&) { watch_value(pending); });
 }
 
 void platform_fake::watch_value(std::shared_ptr<watch> pending) {
--- a/packages/admission/include/medlarloft/admission.hpp
+++ b/packages/admission/include/medlarloft/admission.hpp
@@ -50,8 +50,7 @@
     /// Share of the places that each class may take, by class.
     std::array<double, notes::service_class_count> places{1.0, 0.9, 0.7};
     /// Share of the queue that each class may fill.
-    std::array<double, notes::service_class_count> queue_places{1.0, 0.75,
-                                                                0.5};
+    std::array<double, notes::service_class_count> queue_places{1.0, 0.75, 0.5};
   };
 
   explicit gate(options settings) : options_(settings) {}
--- a/packages/admission/src/throttle.cpp
+++ b/packages/admission/src/throttle.cpp
@@ -22,8 +22,7 @@
   if (tries_ < options_.min_tries) return true;
   const double tolerance =
       options_.tolerance[static_cast<std::size_t>(priority)];
-  const double refuse =
-      (tries_ - tolerance * successes_) / (tries_ + 1.0);
+  const double refuse = (tries_ - tolerance * successes_) / (tries_ + 1.0);
   return draw >= std::max(0.0, refuse);
 }
 
--- a/packages/admission/tests/admission_test.cpp
+++ b/packages/admission/tests/admission_test.cpp
@@ -16,9 +16,8 @@
 TEST(gate, runs_queues_and_releases_the_most_urgent) {
   gate entry({.concurrent = 1, .queue = 10});
   const auto deadline = start_time + 1s;
-  EXPECT_EQ(
-      entry.arrive(start_time, 1, service_class::ordinary, deadline).what,
-      verdict::run);
+  EXPECT_EQ(entry.arrive(start_time, 1, service_class::ordinary, deadline).what,
+            verdict::run);
   entry.arrive(start_time, 2, service_class::ordinary, deadline);
   entry.arrive(start_time, 3, service_class::critical, deadline);
   const auto released = entry.finish(start_time, 5ms);
@@ -54,8 +53,8 @@
   entry.arrive(start_time, 1, service_class::critical, start_time + 1s);
   entry.finish(start_time, 50ms);
   entry.arrive(start_time, 2, service_class::critical, start_time + 1s);
-  const decision late = entry.arrive(start_time, 3, service_class::critical,
-                                     start_time + 60ms);
+  const decision late =
+      entry.arrive(start_time, 3, service_class::critical, start_time + 60ms);
   EXPECT_EQ(late.what, verdict::refuse);
   EXPECT_EQ(late.why, refusal::would_be_late);
   EXPECT_GT(late.retry_after, 0ms);
@@ -102,14 +101,16 @@
 
 TEST(throttle, refuses_lower_classes_first_while_servers_refuse) {
   throttle service({});
-  for (int i = 0; i < 200; ++i) service.record(start_time, i % 2 == 0);
+  for (int i = 0; i < 200; ++i)
+    service.record(start_time, i % 2 == 0);
   EXPECT_FALSE(service.admit(start_time, service_class::ordinary, 0.3));
   EXPECT_TRUE(service.admit(start_time, service_class::critical, 0.0));
 }
 
 TEST(throttle, forgets_old_refusals) {
   throttle service({});
-  for (int i = 0; i < 200; ++i) service.record(start_time, false);
+  for (int i = 0; i < 200; ++i)
+    service.record(start_time, false);
   EXPECT_FALSE(service.admit(start_time, service_class::critical, 0.5));
   EXPECT_TRUE(service.admit(start_time + 30s, service_class::critical, 0.5));
 }
@@ -193,7 +194,8 @@
     const bool ends = value % 3 != 0;
     if (ends) current.ledger.ended(id, known_state::answered, "x");
   }
-  for (const auto& [id, count] : runs) RC_ASSERT(count <= 1);
+  for (const auto& [id, count] : runs)
+    RC_ASSERT(count <= 1);
 }
 
 }  // namespace
--- a/packages/backends/src/connections.cpp
+++ b/packages/backends/src/connections.cpp
@@ -10,10 +10,8 @@
 }
 
 bool connection_policy::should_open(time_point now, std::uint32_t in_use,
-                                    std::uint32_t idle,
-                                    std::uint32_t opening) {
-  const std::uint32_t held =
-      in_use + idle + opening + counted_lost(now);
+                                    std::uint32_t idle, std::uint32_t opening) {
+  const std::uint32_t held = in_use + idle + opening + counted_lost(now);
   if (held >= limit_) return false;
   if (idle + opening >= options_.spare) return false;
   return now >= next_opening_;
--- a/packages/backends/src/server_state.cpp
+++ b/packages/backends/src/server_state.cpp
@@ -34,7 +34,9 @@
   return !leaving() && now >= paused_until_ && in_flight_ < limit();
 }
 
-void server_state::started(time_point /*now*/) noexcept { ++in_flight_; }
+void server_state::started(time_point /*now*/) noexcept {
+  ++in_flight_;
+}
 
 cold_evidence server_state::turn_cold(time_point now, cold_evidence why) {
   warmth_ = warmth::cold;
@@ -74,8 +76,8 @@
   if (answers_since_cold_ >= options_.warm_after) warmth_ = warmth::warm;
 }
 
-std::optional<cold_evidence> server_state::finished(
-    time_point now, const answer_facts& facts) {
+std::optional<cold_evidence> server_state::finished(time_point now,
+                                                    const answer_facts& facts) {
   if (in_flight_ > 0) --in_flight_;
   if (facts.says_leaving) set_leaving(leaving_source::answer, true);
   const bool warm_before = warmth_ == warmth::warm;
--- a/packages/backends/tests/server_state_test.cpp
+++ b/packages/backends/tests/server_state_test.cpp
@@ -137,8 +137,8 @@
   int answers = 0;  // in a row since the last evidence of cold
   int start = 0;
   time_point now = start_time;
-  const auto events = *rc::gen::container<std::vector<int>>(
-      rc::gen::inRange(0, 12));
+  const auto events =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12));
   for (const int event : events) {
     now += 30ms;
     if (event < 6) {
--- a/packages/base/src/base.cpp
+++ b/packages/base/src/base.cpp
@@ -13,8 +13,8 @@
 }
 
 std::uint64_t mix64(std::uint64_t left, std::uint64_t right) noexcept {
-  std::uint64_t mixed = left ^ (right + 0x9e3779b97f4a7c15ULL + (left << 6) +
-                                (left >> 2));
+  std::uint64_t mixed =
+      left ^ (right + 0x9e3779b97f4a7c15ULL + (left << 6) + (left >> 2));
   mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
   mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebULL;
   return mixed ^ (mixed >> 31);
--- a/packages/base/src/text.cpp
+++ b/packages/base/src/text.cpp
@@ -69,8 +69,7 @@
     host = host.substr(1, host.size() - 2);
   }
   boost::system::error_code failed;
-  const auto address =
-      boost::asio::ip::make_address(std::string(host), failed);
+  const auto address = boost::asio::ip::make_address(std::string(host), failed);
   if (failed) return bad_endpoint(text);
   const std::string_view digits = text.substr(colon + 1);
   std::uint16_t port = 0;
--- a/packages/base/tests/base_test.cpp
+++ b/packages/base/tests/base_test.cpp
@@ -25,8 +25,8 @@
 
 RC_GTEST_PROP(duration_text, round_trips, ()) {
   const auto count = *rc::gen::inRange<std::int64_t>(0, 1'000'000'000'000);
-  const auto value = std::chrono::duration_cast<duration>(
-      std::chrono::microseconds(count));
+  const auto value =
+      std::chrono::duration_cast<duration>(std::chrono::microseconds(count));
   RC_ASSERT(parse_duration(format_duration(value)).value() == value);
 }
 
--- a/packages/client/src/client.cpp
+++ b/packages/client/src/client.cpp
@@ -37,8 +37,7 @@
       detail::timeline_of_all},
      {"addresses", "CALLERS_ADDRESS [CALLER]", "which daemons a caller gets",
       detail::addresses},
-     {"ask", "CALLERS_ADDRESS SERVICE [BODY]", "run one query",
-      detail::ask}}};
+     {"ask", "CALLERS_ADDRESS SERVICE [BODY]", "run one query", detail::ask}}};
 
 std::size_t count_words(std::string_view text) {
   return static_cast<std::size_t>(std::ranges::count(text, ' ')) + 1;
@@ -82,8 +81,7 @@
   net::io_context loop;
   std::optional<net::net_result<net::http_response>> got;
   net::http_fetch(loop, {.to = from, .connect_timeout = timeout}, request,
-                  timeout,
-                  [&got](net::net_result<net::http_response> answer) {
+                  timeout, [&got](net::net_result<net::http_response> answer) {
                     got = std::move(answer);
                   });
   loop.run();
--- a/packages/client/src/commands.hpp
+++ b/packages/client/src/commands.hpp
@@ -20,10 +20,8 @@
              const console& io);
 int bring_back(const options& settings, const arguments& words,
                const console& io);
-int members(const options& settings, const arguments& words,
-            const console& io);
-int servers(const options& settings, const arguments& words,
-            const console& io);
+int members(const options& settings, const arguments& words, const console& io);
+int servers(const options& settings, const arguments& words, const console& io);
 int stats(const options& settings, const arguments& words, const console& io);
 int timeline_of_all(const options& settings, const arguments& words,
                     const console& io);
--- a/packages/client/src/daemon_commands.cpp
+++ b/packages/client/src/daemon_commands.cpp
@@ -73,29 +73,25 @@
 
 }  // namespace
 
-int note_status(const options& settings, const arguments&,
-                const console& io) {
-  return for_each_daemon(
-      settings, "/v1/status", io,
-      [&](const std::string& name, const std::string& body) {
-        write_rows(name, "[" + body + "]", settings, io);
-      });
+int note_status(const options& settings, const arguments&, const console& io) {
+  return for_each_daemon(settings, "/v1/status", io,
+                         [&](const std::string& name, const std::string& body) {
+                           write_rows(name, "[" + body + "]", settings, io);
+                         });
 }
 
 int members(const options& settings, const arguments&, const console& io) {
-  return for_each_daemon(
-      settings, "/v1/members", io,
-      [&](const std::string& name, const std::string& body) {
-        write_rows(name, body, settings, io);
-      });
+  return for_each_daemon(settings, "/v1/members", io,
+                         [&](const std::string& name, const std::string& body) {
+                           write_rows(name, body, settings, io);
+                         });
 }
 
 int servers(const options& settings, const arguments&, const console& io) {
-  return for_each_daemon(
-      settings, "/v1/servers", io,
-      [&](const std::string& name, const std::string& body) {
-        write_rows(name, body, settings, io);
-      });
+  return for_each_daemon(settings, "/v1/servers", io,
+                         [&](const std::string& name, const std::string& body) {
+                           write_rows(name, body, settings, io);
+                         });
 }
 
 int stats(const options& settings, const arguments&, const console& io) {
@@ -130,8 +126,8 @@
   const auto from = first_address(words, io);
   if (!from) return exit_invalid;
   const std::string caller = words.size() > 1 ? words[1] : "operator";
-  const auto answer = fetch(
-      *from, {.target = "/v1/addresses?caller=" + caller}, settings.timeout);
+  const auto answer = fetch(*from, {.target = "/v1/addresses?caller=" + caller},
+                            settings.timeout);
   if (!answer) {
     io.error << answer.error().text << '\n';
     return exit_failed;
@@ -149,8 +145,8 @@
   const wall_time now = std::chrono::time_point_cast<wall_time::duration>(
       std::chrono::system_clock::now());
   const front::caller_query query{
-      .request_id = "operator-" +
-                    std::to_string(now.time_since_epoch().count()),
+      .request_id =
+          "operator-" + std::to_string(now.time_since_epoch().count()),
       .service = words[1],
       .issued_at = now,
       .body = words.size() > 2 ? words[2] : ""};
--- a/packages/client/src/note_commands.cpp
+++ b/packages/client/src/note_commands.cpp
@@ -51,8 +51,7 @@
 // Publishing means that readers see whole files only, the head last.
 bool write_value(const std::string& folder,
                  const notes::published_value& value) {
-  const std::filesystem::path path =
-      std::filesystem::path(folder) / value.key;
+  const std::filesystem::path path = std::filesystem::path(folder) / value.key;
   std::filesystem::create_directories(path.parent_path());
   const std::string fresh = path.string() + ".new";
   {
@@ -64,8 +63,8 @@
   return true;
 }
 
-int note_for_centre(const options& settings, const arguments& words,
-                    bool out, const console& io) {
+int note_for_centre(const options& settings, const arguments& words, bool out,
+                    const console& io) {
   if (words.size() != 1 || settings.daemons.empty()) {
     io.error << "needs one data centre and --daemons\n";
     return exit_invalid;
@@ -82,8 +81,8 @@
   }
   const notes::data_centre* centre = newest->find_data_centre(words[0]);
   if (centre == nullptr) {
-    io.error << "data centre \"" << words[0]
-             << "\" does not exist in note " << newest->version << '\n';
+    io.error << "data centre \"" << words[0] << "\" does not exist in note "
+             << newest->version << '\n';
     return exit_invalid;
   }
   json changed = {{"id", centre->id}, {"region", centre->region}};
--- a/packages/documents/src/parse.cpp
+++ b/packages/documents/src/parse.cpp
@@ -90,8 +90,8 @@
   try {
     nlohmann::json document = nlohmann::json::parse(text, std::ref(watch));
     if (!watch.duplicate().empty()) {
-      return document_error{document_errc::duplicate_key, watch.duplicate(),
-                            "", "key appears twice in one object"};
+      return document_error{document_errc::duplicate_key, watch.duplicate(), "",
+                            "key appears twice in one object"};
     }
     return document;
   } catch (const nlohmann::json::parse_error& error) {
--- a/packages/front/src/caller.cpp
+++ b/packages/front/src/caller.cpp
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <array>
 
-#include "medlarloft/front.hpp"
 #include "json_fields.hpp"
+#include "medlarloft/front.hpp"
 
 namespace medlarloft::front {
 namespace {
@@ -74,8 +74,7 @@
 
 std::vector<std::string> format_all(const std::vector<endpoint>& addresses) {
   std::vector<std::string> texts;
-  std::ranges::transform(addresses, std::back_inserter(texts),
-                         format_endpoint);
+  std::ranges::transform(addresses, std::back_inserter(texts), format_endpoint);
   return texts;
 }
 
--- a/packages/front/src/json_fields.hpp
+++ b/packages/front/src/json_fields.hpp
@@ -18,10 +18,8 @@
 template <class Value, class Read>
 documents::document_result<Value> read_with(std::string_view text,
                                             const documents::schema& rules,
-                                            std::size_t max_bytes,
-                                            Read read) {
-  BOOST_OUTCOME_TRY(document,
-                    documents::parse(text, {.max_bytes = max_bytes}));
+                                            std::size_t max_bytes, Read read) {
+  BOOST_OUTCOME_TRY(document, documents::parse(text, {.max_bytes = max_bytes}));
   BOOST_OUTCOME_TRYV(rules.check(document));
   return read(document);
 }
--- a/packages/front/src/leaf.cpp
+++ b/packages/front/src/leaf.cpp
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <array>
 
-#include "medlarloft/front.hpp"
 #include "json_fields.hpp"
+#include "medlarloft/front.hpp"
 
 namespace medlarloft::front {
 namespace {
@@ -65,8 +65,7 @@
   value.range = {document.at("from").get<std::uint64_t>(),
                  document.at("to").get<std::uint64_t>()};
   value.snapshot = document.at("snapshot").get<std::uint64_t>();
-  value.priority =
-      *notes::parse_class(document.at("class").get<std::string>());
+  value.priority = *notes::parse_class(document.at("class").get<std::string>());
   const auto deadline =
       parse_duration(document.at("deadline").get<std::string>());
   if (!deadline) {
--- a/packages/logs/include/medlarloft/logs.hpp
+++ b/packages/logs/include/medlarloft/logs.hpp
@@ -28,8 +28,8 @@
   field(std::string_view name, bool flag)
       : key(name), value(flag ? "true" : "false") {}
   template <class Number>
-    requires std::is_arithmetic_v<Number>
-  field(std::string_view name, Number number)
+  requires std::is_arithmetic_v<Number> field(std::string_view name,
+                                              Number number)
       : key(name), value(std::to_string(number)) {}
   field(std::string_view name, duration time)
       : key(name), value(format_duration(time)) {}
--- a/packages/logs/src/logs.cpp
+++ b/packages/logs/src/logs.cpp
@@ -102,7 +102,8 @@
                         std::initializer_list<field> fields) {
   std::string line;
   append_pair(line, "event", event);
-  for (const field& pair : fields) append_pair(line, pair.key, pair.value);
+  for (const field& pair : fields)
+    append_pair(line, pair.key, pair.value);
   return line;
 }
 
--- a/packages/membership/src/probing.cpp
+++ b/packages/membership/src/probing.cpp
@@ -70,7 +70,8 @@
   // Silence while this process slept says nothing about the others.
   probe_.reset();
   relayed_.clear();
-  for (auto& [id, entry] : suspicions_) entry.began = now;
+  for (auto& [id, entry] : suspicions_)
+    entry.began = now;
   local_health_ = options_.max_local_health;
   next_probe_ = now;
   joined_ = false;
@@ -218,26 +219,23 @@
   });
 }
 
-void group::on_ping_req(time_point now, outputs& out,
-                        const message& received) {
+void group::on_ping_req(time_point now, outputs& out, const message& received) {
   const member_record* target = find(received.target);
   if (target == nullptr) return;
   message body = make(message_kind::ping);
   body.sequence = ++sequence_;
   body.target = received.target;
   constexpr double nack_share = 0.8;
-  relayed_.push_back(
-      {.requester = received.from,
-       .sequence = received.sequence,
-       .own_sequence = body.sequence,
-       .nack_at = now + std::chrono::duration_cast<duration>(
-                            options_.probe_timeout * nack_share),
-       .expires_at = now + options_.probe_period});
+  relayed_.push_back({.requester = received.from,
+                      .sequence = received.sequence,
+                      .own_sequence = body.sequence,
+                      .nack_at = now + std::chrono::duration_cast<duration>(
+                                           options_.probe_timeout * nack_share),
+                      .expires_at = now + options_.probe_period});
   send(out, *target, std::move(body));
 }
 
-void group::on_ack(time_point /*now*/, outputs& out,
-                   const message& received) {
+void group::on_ack(time_point /*now*/, outputs& out, const message& received) {
   if (probe_ && probe_->sequence == received.sequence) {
     if (received.kind == message_kind::nack) {
       ++probe_->helpers_heard;
--- a/packages/membership/src/spreading.cpp
+++ b/packages/membership/src/spreading.cpp
@@ -8,8 +8,8 @@
 outputs group::receive(time_point now, const message& received) {
   outputs out;
   // A ping for a daemon that had this address before is not for this one.
-  const bool misdirected = received.kind == message_kind::ping &&
-                           received.target != self_.id;
+  const bool misdirected =
+      received.kind == message_kind::ping && received.target != self_.id;
   if (misdirected || received.from == self_.id) return out;
   take_updates(now, out, received);
   heard_directly(now, out, received.from);
@@ -55,8 +55,7 @@
   return out;
 }
 
-void group::on_join(time_point /*now*/, outputs& out,
-                    const message& received) {
+void group::on_join(time_point /*now*/, outputs& out, const message& received) {
   const member_record* sender = find(received.from);
   if (sender == nullptr) return;
   message body = make(message_kind::members);
@@ -103,10 +102,8 @@
 // The daemons of a data centre, rotated so that the root comes first, form a
 // complete tree; each passes the note to its children in it. Views that
 // differ leave gaps, which anti-entropy closes.
-void group::push_note(outputs& out, const std::string& root,
-                      bool first_hand) {
-  const std::vector<std::string> order =
-      ranked(self_.data_centre, "notes");
+void group::push_note(outputs& out, const std::string& root, bool first_hand) {
+  const std::vector<std::string> order = ranked(self_.data_centre, "notes");
   const auto root_at = std::ranges::find(order, root);
   const bool local_root = root_at != order.end();
   const std::size_t shift =
@@ -115,8 +112,7 @@
   const auto self_at = std::ranges::find(order, self_.id);
   if (self_at == order.end()) return;
   const std::size_t position =
-      (static_cast<std::size_t>(self_at - order.begin()) + size - shift) %
-      size;
+      (static_cast<std::size_t>(self_at - order.begin()) + size - shift) % size;
   std::set<std::string> targets;
   for (std::size_t k = 1; k <= options_.tree_fanout; ++k) {
     const std::size_t child = position * options_.tree_fanout + k;
--- a/packages/membership/src/table.cpp
+++ b/packages/membership/src/table.cpp
@@ -40,15 +40,15 @@
 std::vector<member_record> group::members() const {
   std::vector<member_record> all{self_};
   all.reserve(members_.size() + 1);
-  for (const auto& [id, known] : members_) all.push_back(known.record);
+  for (const auto& [id, known] : members_)
+    all.push_back(known.record);
   std::ranges::sort(all, {}, &member_record::id);
   return all;
 }
 
 std::size_t group::alive_count() const noexcept {
-  const auto others = std::ranges::count_if(members_, [this](const auto& m) {
-    return reachable(m.second.record);
-  });
+  const auto others = std::ranges::count_if(
+      members_, [this](const auto& m) { return reachable(m.second.record); });
   return static_cast<std::size_t>(others) + 1;
 }
 
@@ -75,13 +75,15 @@
     found.push_back({hash64(record.id, seed), record.id});
   };
   consider(self_);
-  for (const auto& [id, known] : members_) consider(known.record);
+  for (const auto& [id, known] : members_)
+    consider(known.record);
   std::ranges::sort(found, [](const scored& a, const scored& b) {
     return std::tie(a.score, a.id) > std::tie(b.score, b.id);
   });
   std::vector<std::string> ids;
   ids.reserve(found.size());
-  for (scored& one : found) ids.push_back(std::move(one.id));
+  for (scored& one : found)
+    ids.push_back(std::move(one.id));
   return ids;
 }
 
@@ -123,11 +125,13 @@
 }
 
 void group::fill_updates(message& body, const std::string& to) {
-  // A suspected receiver must hear first that it is suspected.
+  // A receiver that is suspected, or counted as failed, must hear so first:
+  // only its own word can take that back, as after a partition.
   const member_record* receiver = find(to);
-  if (receiver != nullptr && receiver->state == member_state::suspected) {
-    body.updates.push_back(*receiver);
-  }
+  const bool accused =
+      receiver != nullptr && (receiver->state == member_state::suspected ||
+                              receiver->state == member_state::failed);
+  if (accused) body.updates.push_back(*receiver);
   const std::size_t wanted =
       std::min(options_.updates_per_message, queue_.size());
   std::ranges::partial_sort(
@@ -196,8 +200,8 @@
   if (fresh) {
     // A random place, so that new members are probed soon and evenly.
     const std::size_t at = random_.below(probe_order_.size() + 1);
-    probe_order_.insert(
-        probe_order_.begin() + static_cast<std::ptrdiff_t>(at), told.id);
+    probe_order_.insert(probe_order_.begin() + static_cast<std::ptrdiff_t>(at),
+                        told.id);
   }
   const member_state before =
       fresh ? member_state::unheard : known->second.record.state;
--- a/packages/metrics/tests/metrics_test.cpp
+++ b/packages/metrics/tests/metrics_test.cpp
@@ -19,8 +19,10 @@
   recorder left;
   recorder right;
   const latency_key key{"lease-desk", "critical"};
-  for (int i = 0; i < 98; ++i) left.latency(key, 10ms);
-  for (int i = 0; i < 2; ++i) right.latency(key, 100ms);
+  for (int i = 0; i < 98; ++i)
+    left.latency(key, 10ms);
+  for (int i = 0; i < 2; ++i)
+    right.latency(key, 100ms);
   const latency_summary found = merge({&left, &right}).latencies.at(key);
   EXPECT_EQ(found.count, 100U);
   EXPECT_NEAR(std::chrono::duration<double>(found.p50).count(), 0.010, 0.001);
--- a/packages/net/include/medlarloft/net.hpp
+++ b/packages/net/include/medlarloft/net.hpp
@@ -57,8 +57,8 @@
 using respond = std::function<void(http_response)>;
 
 /// Handles a request on the loop `worker` that serves its connection.
-using http_handler = std::function<void(
-    std::size_t worker, http_request request, respond answer)>;
+using http_handler = std::function<void(std::size_t worker,
+                                        http_request request, respond answer)>;
 
 /// Serves HTTP/1.1 on several loops. Malformed, oversized and slow requests
 /// get a clear error and lose their own connection only.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -54,9 +54,9 @@
         to, [self = self_ptr(), done = std::move(done)](error_code refused) {
           if (refused) {
             self->close();
-            done(net_error{net_errc::cannot_connect,
-                           format_endpoint(self->options_.to) + ": " +
-                               refused.message()});
+            done(net_error{
+                net_errc::cannot_connect,
+                format_endpoint(self->options_.to) + ": " + refused.message()});
             return;
           }
           error_code ignored;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -106,8 +106,7 @@
 
   void accept_next();
   asio::awaitable<void> serve(std::size_t worker, tcp::socket socket);
-  asio::awaitable<bool> serve_one(std::size_t worker,
-                                  beast::tcp_stream& stream,
+  asio::awaitable<bool> serve_one(std::size_t worker, beast::tcp_stream& stream,
                                   beast::flat_buffer& buffer);
   asio::awaitable<http_response> handle(std::size_t worker,
                                         http_request request);
@@ -130,24 +129,22 @@
 
 void http_server::state::accept_next() {
   const std::size_t worker = next_loop++ % loops.size();
-  acceptor.async_accept(
-      *loops[worker],
-      [self = shared_from_this(), worker](error_code failed,
-                                          tcp::socket socket) {
-        if (failed == asio::error::operation_aborted) return;
-        if (!failed &&
-            self->connections.load() < self->options.max_connections) {
-          ++self->connections;
-          const auto executor = socket.get_executor();
-          asio::co_spawn(
-              executor,
-              [self, worker, socket = std::move(socket)]() mutable {
-                return self->serve(worker, std::move(socket));
-              },
-              asio::detached);
-        }
-        self->accept_next();
-      });
+  acceptor.async_accept(*loops[worker], [self = shared_from_this(), worker](
+                                            error_code failed,
+                                            tcp::socket socket) {
+    if (failed == asio::error::operation_aborted) return;
+    if (!failed && self->connections.load() < self->options.max_connections) {
+      ++self->connections;
+      const auto executor = socket.get_executor();
+      asio::co_spawn(
+          executor,
+          [self, worker, socket = std::move(socket)]() mutable {
+            return self->serve(worker, std::move(socket));
+          },
+          asio::detached);
+    }
+    self->accept_next();
+  });
 }
 
 void http_server::state::track(beast::tcp_stream* stream, bool add) {
@@ -205,14 +202,13 @@
   message.prepare_payload();
   stream.expires_after(options.write_timeout);
   error_code failed;
-  co_await http::async_write(
-      stream, message, asio::redirect_error(asio::use_awaitable, failed));
+  co_await http::async_write(stream, message,
+                             asio::redirect_error(asio::use_awaitable, failed));
   co_return !failed && keep;
 }
 
 asio::awaitable<bool> http_server::state::serve_one(
-    std::size_t worker, beast::tcp_stream& stream,
-    beast::flat_buffer& buffer) {
+    std::size_t worker, beast::tcp_stream& stream, beast::flat_buffer& buffer) {
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(options.max_header_bytes));
   parser.body_limit(options.max_body_bytes);
@@ -233,9 +229,8 @@
   stream.expires_never();
   // The stream's own timeout would close the socket before the error answer.
   read_limit limit(stream, options.request_timeout);
-  co_await http::async_read(
-      stream, buffer, parser,
-      asio::redirect_error(asio::use_awaitable, failed));
+  co_await http::async_read(stream, buffer, parser,
+                            asio::redirect_error(asio::use_awaitable, failed));
   if (limit.reached()) failed = beast::error::timeout;
   if (failed == http::error::end_of_stream) {
     --requests;
@@ -251,7 +246,8 @@
   auto message = parser.release();
   http_request request{std::string(message.method_string()),
                        std::string(message.target()),
-                       std::move(message.body()), {}};
+                       std::move(message.body()),
+                       {}};
   error_code unknown;
   request.remote =
       stream.socket().remote_endpoint(unknown).address().to_string();
@@ -264,8 +260,8 @@
   co_return go_on;
 }
 
-http_server::http_server(std::vector<io_context*> loops,
-                         server_options options, http_handler handler)
+http_server::http_server(std::vector<io_context*> loops, server_options options,
+                         http_handler handler)
     : state_(std::make_shared<state>(std::move(loops), std::move(options),
                                      std::move(handler))) {}
 
@@ -283,18 +279,20 @@
   if (!failed) acceptor.open(at.protocol(), failed);
   if (!failed) acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
   if (!failed) acceptor.bind(at, failed);
-  if (!failed) acceptor.listen(asio::socket_base::max_listen_connections,
-                               failed);
+  if (!failed)
+    acceptor.listen(asio::socket_base::max_listen_connections, failed);
   if (failed) {
-    return net_error{net_errc::cannot_listen,
-                     "cannot listen on " + format_endpoint(listen) + ": " +
-                         failed.message()};
+    return net_error{net_errc::cannot_listen, "cannot listen on " +
+                                                  format_endpoint(listen) +
+                                                  ": " + failed.message()};
   }
   state_->accept_next();
   return outcome::success();
 }
 
-void http_server::drain() { state_->draining = true; }
+void http_server::drain() {
+  state_->draining = true;
+}
 
 void http_server::close() {
   state_->draining = true;
--- a/packages/notes/src/check.cpp
+++ b/packages/notes/src/check.cpp
@@ -42,8 +42,7 @@
 }
 
 // The shards must tile the key space: no gap, no overlap.
-note_result<void> check_tiling(const service& owner,
-                               const partition_map& map) {
+note_result<void> check_tiling(const service& owner, const partition_map& map) {
   std::uint64_t next = 0;
   for (const shard& part : map.shards) {
     if (part.range.from != next || part.range.to <= part.range.from) {
@@ -59,18 +58,17 @@
                     std::to_string(next), "shards leave keys uncovered"};
 }
 
-note_result<void> check_capacity(const fleet_model& model,
-                                 const service& owner, const shard& part) {
+note_result<void> check_capacity(const fleet_model& model, const service& owner,
+                                 const shard& part) {
   if (owner.queries_per_second <= 0 || owner.leaf_time <= duration::zero()) {
     return outcome::success();
   }
-  const double slots = std::accumulate(
-      part.leafs.begin(), part.leafs.end(), 0.0,
-      [&model](double sum, leaf_index i) {
-        return sum + static_cast<double>(model.leafs[i].slots);
-      });
-  const double seconds =
-      std::chrono::duration<double>(owner.leaf_time).count();
+  const double slots =
+      std::accumulate(part.leafs.begin(), part.leafs.end(), 0.0,
+                      [&model](double sum, leaf_index i) {
+                        return sum + static_cast<double>(model.leafs[i].slots);
+                      });
+  const double seconds = std::chrono::duration<double>(owner.leaf_time).count();
   const double bearable = slots / seconds * max_planned_use;
   if (bearable >= owner.queries_per_second) return outcome::success();
   return note_error{
@@ -96,13 +94,12 @@
 
 note_result<void> check_service(const fleet_model& model,
                                 const service& owner) {
-  const auto twice = std::ranges::adjacent_find(
-      owner.maps, {}, &partition_map::from_snapshot);
+  const auto twice =
+      std::ranges::adjacent_find(owner.maps, {}, &partition_map::from_snapshot);
   if (twice != owner.maps.end()) {
-    return note_error{note_errc::already_exists,
-                      "services." + owner.id + ".partitions",
-                      std::to_string(twice->from_snapshot),
-                      "two maps start at one snapshot"};
+    return note_error{
+        note_errc::already_exists, "services." + owner.id + ".partitions",
+        std::to_string(twice->from_snapshot), "two maps start at one snapshot"};
   }
   for (const partition_map& map : owner.maps) {
     BOOST_OUTCOME_TRYV(check_map(model, owner, map));
@@ -136,8 +133,7 @@
 
 note_result<void> check_meaning(const fleet_model& model) {
   BOOST_OUTCOME_TRYV(check_data_centres(model, model.daemons, "daemons"));
-  BOOST_OUTCOME_TRYV(
-      check_data_centres(model, model.leafs, "backend_servers"));
+  BOOST_OUTCOME_TRYV(check_data_centres(model, model.leafs, "backend_servers"));
   BOOST_OUTCOME_TRYV(check_addresses(model));
   for (const service& owner : model.services) {
     BOOST_OUTCOME_TRYV(check_service(model, owner));
--- a/packages/notes/src/codec.cpp
+++ b/packages/notes/src/codec.cpp
@@ -64,8 +64,7 @@
 
 json write_partition(const partition_map& value) {
   json shards = json::array();
-  std::ranges::transform(value.shards, std::back_inserter(shards),
-                         write_shard);
+  std::ranges::transform(value.shards, std::back_inserter(shards), write_shard);
   return {{"from_snapshot", value.from_snapshot},
           {"shards", std::move(shards)}};
 }
@@ -125,8 +124,8 @@
       read_duration(value, "stop_early_after", into.stop_early_after));
   into.queries_per_second = value.value("queries_per_second", 0.0);
   BOOST_OUTCOME_TRYV(read_duration(value, "leaf_time", into.leaf_time));
-  std::ranges::transform(value.at("partitions"),
-                         std::back_inserter(into.maps), read_partition);
+  std::ranges::transform(value.at("partitions"), std::back_inserter(into.maps),
+                         read_partition);
   std::ranges::sort(into.maps, {}, &partition_map::from_snapshot);
   for (partition_map& map : into.maps) {
     std::ranges::sort(map.shards, {}, &shard::range);
@@ -150,16 +149,15 @@
 }
 
 json write(const leaf& value) {
-  json written = {
-      {"id", value.id},
-      {"data_centre", value.data_centre},
-      {"address", format_endpoint(value.address)},
-      {"slots", value.slots},
-      {"connections", value.connections},
-      {"connection_cost", format_duration(value.connection_cost)},
-      {"cold",
-       {{"concurrent", value.cold.concurrent},
-        {"warm_after", value.cold.warm_after}}}};
+  json written = {{"id", value.id},
+                  {"data_centre", value.data_centre},
+                  {"address", format_endpoint(value.address)},
+                  {"slots", value.slots},
+                  {"connections", value.connections},
+                  {"connection_cost", format_duration(value.connection_cost)},
+                  {"cold",
+                   {{"concurrent", value.cold.concurrent},
+                    {"warm_after", value.cold.warm_after}}}};
   if (value.leaving) written["leaving"] = true;
   return written;
 }
--- a/packages/notes/src/difference.cpp
+++ b/packages/notes/src/difference.cpp
@@ -18,8 +18,7 @@
         new_entry == to.end() ||
         (old_entry != from.end() && old_entry->id < new_entry->id);
     const bool only_new =
-        !only_old &&
-        (old_entry == from.end() || new_entry->id < old_entry->id);
+        !only_old && (old_entry == from.end() || new_entry->id < old_entry->id);
     if (only_old) {
       lines.push_back("- " + prefix + old_entry->id);
       ++old_entry;
--- a/packages/notes/src/fold.cpp
+++ b/packages/notes/src/fold.cpp
@@ -55,8 +55,7 @@
   }
 
   Entity* find(std::string_view id) {
-    const auto found =
-        std::ranges::lower_bound(entities_, id, {}, &Entity::id);
+    const auto found = std::ranges::lower_bound(entities_, id, {}, &Entity::id);
     if (found == entities_.end() || found->id != id) return nullptr;
     return &*found;
   }
@@ -107,8 +106,7 @@
       BOOST_OUTCOME_TRY(read, read_one(value, "add"));
       entities_.push_back(std::move(read));
     }
-    const auto middle =
-        entities_.begin() + static_cast<std::ptrdiff_t>(before);
+    const auto middle = entities_.begin() + static_cast<std::ptrdiff_t>(before);
     std::ranges::sort(middle, entities_.end(), {}, &Entity::id);
     std::ranges::inplace_merge(entities_, middle, {}, &Entity::id);
     const auto twice = std::ranges::adjacent_find(entities_, {}, &Entity::id);
@@ -166,7 +164,8 @@
 template <class Entity>
 std::uint64_t sum_digests(const std::vector<Entity>& entities) {
   std::uint64_t sum = 0;
-  for (const Entity& entity : entities) sum += entity.digest;
+  for (const Entity& entity : entities)
+    sum += entity.digest;
   return sum;
 }
 
@@ -180,7 +179,8 @@
 template <class Entity>
 json write_all(const std::vector<Entity>& entities) {
   json list = json::array();
-  for (const Entity& entity : entities) list.push_back(detail::write(entity));
+  for (const Entity& entity : entities)
+    list.push_back(detail::write(entity));
   return {{"add", std::move(list)}};
 }
 
@@ -200,8 +200,7 @@
   return note;
 }
 
-note_result<model_ptr> fold(const fleet_model& base,
-                            const release_note& note) {
+note_result<model_ptr> fold(const fleet_model& base, const release_note& note) {
   if (note.base != 0 && note.base != base.version) {
     return note_error{
         note_errc::wrong_base, "base", std::to_string(note.base),
@@ -214,8 +213,7 @@
   BOOST_OUTCOME_TRYV(
       apply_section("data_centres", document, model->data_centres));
   BOOST_OUTCOME_TRYV(apply_section("daemons", document, model->daemons));
-  BOOST_OUTCOME_TRYV(
-      apply_section("backend_servers", document, model->leafs));
+  BOOST_OUTCOME_TRYV(apply_section("backend_servers", document, model->leafs));
   BOOST_OUTCOME_TRYV(apply_section("services", document, model->services));
   BOOST_OUTCOME_TRYV(resolve_replicas(*model));
   BOOST_OUTCOME_TRYV(detail::check_meaning(*model));
@@ -238,8 +236,8 @@
   BOOST_OUTCOME_TRY(document, read_document(text, rules));
   head read;
   read.version = document.at("version").get<note_version>();
-  read.digest = std::stoull(document.at("digest").get<std::string>(), nullptr,
-                            16);
+  read.digest =
+      std::stoull(document.at("digest").get<std::string>(), nullptr, 16);
   for (const json& step : document.at("chain")) {
     read.chain.push_back({step.at("version").get<note_version>(),
                           step.at("base").get<note_version>(),
--- a/packages/notes/src/render.cpp
+++ b/packages/notes/src/render.cpp
@@ -68,9 +68,8 @@
 std::string write_head(const head& value) {
   json chain = json::array();
   for (const note_reference& step : value.chain) {
-    chain.push_back({{"version", step.version},
-                     {"base", step.base},
-                     {"keys", step.keys}});
+    chain.push_back(
+        {{"version", step.version}, {"base", step.base}, {"keys", step.keys}});
   }
   return detail::dump({{"version", value.version},
                        {"digest", hex(value.digest)},
@@ -127,9 +126,9 @@
     return {next, value.chain.end()};
   }
   // The newest whole note is where a holder of nothing usable starts.
-  const auto whole = std::find_if(
-      value.chain.rbegin(), value.chain.rend(),
-      [](const note_reference& step) { return step.base == 0; });
+  const auto whole =
+      std::find_if(value.chain.rbegin(), value.chain.rend(),
+                   [](const note_reference& step) { return step.base == 0; });
   if (whole == value.chain.rend()) return {};
   return {std::prev(whole.base()), value.chain.end()};
 }
--- a/packages/notes/src/store.cpp
+++ b/packages/notes/src/store.cpp
@@ -74,7 +74,8 @@
   }
   model_ = std::move(folded);
   whole_.reset();
-  for (const release_note* note : applied) remember(*note);
+  for (const release_note* note : applied)
+    remember(*note);
   return {verdict::accepted, std::nullopt};
 }
 
--- a/packages/notes/tests/fold_test.cpp
+++ b/packages/notes/tests/fold_test.cpp
@@ -45,10 +45,8 @@
 TEST(fold, refuses_gaps_and_overlaps_of_ranges) {
   for (const std::uint64_t from : {2147483647ULL, 2147483649ULL}) {
     json document = sample_document();
-    document["services"]["add"][0]["partitions"][0]["shards"][1]["from"] =
-        from;
-    EXPECT_EQ(fold_document(document).error().code,
-              note_errc::not_a_partition);
+    document["services"]["add"][0]["partitions"][0]["shards"][1]["from"] = from;
+    EXPECT_EQ(fold_document(document).error().code, note_errc::not_a_partition);
   }
 }
 
@@ -63,24 +61,21 @@
 
 TEST(fold, refuses_what_exists_or_does_not) {
   const model_ptr base = fold_document(sample_document()).value();
-  const json again = {{"version", 2},
-                      {"base", 1},
-                      {"data_centres",
-                       {{"add", {{{"id", "a"}, {"region", "r"}}}}}}};
+  const json again = {
+      {"version", 2},
+      {"base", 1},
+      {"data_centres", {{"add", {{{"id", "a"}, {"region", "r"}}}}}}};
   EXPECT_EQ(fold(*base, note_of(again)).error().code,
             note_errc::already_exists);
-  const json lost = {{"version", 2},
-                     {"base", 1},
-                     {"backend_servers", {{"withdraw", {"l9"}}}}};
-  EXPECT_EQ(fold(*base, note_of(lost)).error().code,
-            note_errc::does_not_exist);
+  const json lost = {
+      {"version", 2}, {"base", 1}, {"backend_servers", {{"withdraw", {"l9"}}}}};
+  EXPECT_EQ(fold(*base, note_of(lost)).error().code, note_errc::does_not_exist);
 }
 
 TEST(fold, refuses_withdrawing_a_server_in_use) {
   const model_ptr base = fold_document(sample_document()).value();
-  const json note = {{"version", 2},
-                     {"base", 1},
-                     {"backend_servers", {{"withdraw", {"l1"}}}}};
+  const json note = {
+      {"version", 2}, {"base", 1}, {"backend_servers", {{"withdraw", {"l1"}}}}};
   EXPECT_EQ(fold(*base, note_of(note)).error().code,
             note_errc::unknown_reference);
 }
@@ -104,15 +99,15 @@
 
 TEST(difference, names_added_changed_and_withdrawn) {
   const model_ptr base = fold_document(sample_document()).value();
-  const json note = {{"version", 2},
-                     {"base", 1},
-                     {"data_centres",
-                      {{"change", {{{"id", "a"}, {"region", "r"},
-                                    {"out", true}}}}}},
-                     {"daemons", {{"withdraw", {"d2"}}}}};
+  const json note = {
+      {"version", 2},
+      {"base", 1},
+      {"data_centres",
+       {{"change", {{{"id", "a"}, {"region", "r"}, {"out", true}}}}}},
+      {"daemons", {{"withdraw", {"d2"}}}}};
   const auto lines = difference(*base, *fold(*base, note_of(note)).value());
-  EXPECT_EQ(lines, (std::vector<std::string>{"~ data_centre a",
-                                             "- daemon d2"}));
+  EXPECT_EQ(lines,
+            (std::vector<std::string>{"~ data_centre a", "- daemon d2"}));
 }
 
 TEST(render, splits_values_and_commits_last) {
--- a/packages/notes/tests/sample_note.hpp
+++ b/packages/notes/tests/sample_note.hpp
@@ -25,30 +25,31 @@
                 {"peers", "127.0.0.1:" + std::to_string(port + 1)},
                 {"control", "127.0.0.1:" + std::to_string(port + 2)}};
   };
-  const json shards = json::array(
-      {{{"id", "s1"},
-        {"from", 0},
-        {"to", 2147483648},
-        {"replicas", {"l1", "l2"}}},
-       {{"id", "s2"},
-        {"from", 2147483648},
-        {"to", 4294967296},
-        {"replicas", {"l3", "l4"}}}});
+  const json shards = json::array({{{"id", "s1"},
+                                    {"from", 0},
+                                    {"to", 2147483648},
+                                    {"replicas", {"l1", "l2"}}},
+                                   {{"id", "s2"},
+                                    {"from", 2147483648},
+                                    {"to", 4294967296},
+                                    {"replicas", {"l3", "l4"}}}});
   return {
       {"version", 1},
       {"base", 0},
       {"data_centres",
-       {{"add", {{{"id", "a"}, {"region", "r"}},
-                 {{"id", "b"}, {"region", "r"}}}}}},
+       {{"add",
+         {{{"id", "a"}, {"region", "r"}}, {{"id", "b"}, {"region", "r"}}}}}},
       {"daemons", {{"add", {daemon("d1", "a", 100), daemon("d2", "b", 200)}}}},
       {"backend_servers",
-       {{"add", {leaf("l1", "a", 1), leaf("l2", "b", 2), leaf("l3", "a", 3),
-                 leaf("l4", "b", 4)}}}},
+       {{"add",
+         {leaf("l1", "a", 1), leaf("l2", "b", 2), leaf("l3", "a", 3),
+          leaf("l4", "b", 4)}}}},
       {"services",
-       {{"add", {{{"id", "desk"},
-                  {"class", "critical"},
-                  {"deadline", "100ms"},
-                  {"partitions", {{{"shards", shards}}}}}}}}}};
+       {{"add",
+         {{{"id", "desk"},
+           {"class", "critical"},
+           {"deadline", "100ms"},
+           {"partitions", {{{"shards", shards}}}}}}}}}};
 }
 
 inline release_note note_of(const nlohmann::json& document) {
--- a/packages/notes/tests/store_test.cpp
+++ b/packages/notes/tests/store_test.cpp
@@ -18,9 +18,8 @@
   note_store store;
   store.offer(note_of(sample_document()));
   const std::uint64_t before = store.digest();
-  const nlohmann::json bad = {{"version", 2},
-                              {"base", 1},
-                              {"services", {{"withdraw", {"nothing"}}}}};
+  const nlohmann::json bad = {
+      {"version", 2}, {"base", 1}, {"services", {{"withdraw", {"nothing"}}}}};
   const auto outcome = store.offer(note_of(bad));
   EXPECT_EQ(outcome.result, verdict::invalid);
   ASSERT_TRUE(outcome.error.has_value());
@@ -52,7 +51,8 @@
 TEST(store, brings_another_store_up_to_date) {
   note_store ahead;
   ahead.offer(note_of(sample_document()));
-  for (int i = 1; i < 5; ++i) ahead.offer(increment(i, 70 + i));
+  for (int i = 1; i < 5; ++i)
+    ahead.offer(increment(i, 70 + i));
   for (const note_version from : {0U, 1U, 3U}) {
     note_store behind;
     if (from > 0) behind.offer(note_of(sample_document()));
@@ -79,8 +79,8 @@
   }
   note_store store;
   note_version naive = 0;
-  const auto offers = *rc::gen::container<std::vector<int>>(
-      rc::gen::inRange(0, 2 * versions));
+  const auto offers =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 2 * versions));
   for (const int offer : offers) {
     const bool whole = offer >= versions;
     const int version = offer % versions + 1;
--- a/packages/peers/include/medlarloft/peers.hpp
+++ b/packages/peers/include/medlarloft/peers.hpp
@@ -153,8 +153,8 @@
   void collect(std::uint64_t part_id, duration silence, part_done done);
   void cancel(std::uint64_t part_id,
               const std::vector<query::attempt_id>& attempts);
-  void forward(const std::string& request, duration remaining,
-               duration silence, forward_done done);
+  void forward(const std::string& request, duration remaining, duration silence,
+               forward_done done);
 
   /// How often a silent or dead connection was replaced.
   std::uint64_t replaced() const noexcept;
--- a/packages/peers/src/asio_stream.cpp
+++ b/packages/peers/src/asio_stream.cpp
@@ -52,9 +52,7 @@
     return begun.then([this, rest] { return write(rest); });
   }
 
-  kj::Promise<void> whenWriteDisconnected() override {
-    return kj::NEVER_DONE;
-  }
+  kj::Promise<void> whenWriteDisconnected() override { return kj::NEVER_DONE; }
 
   void shutdownWrite() override {
     error_code ignored;
@@ -69,17 +67,16 @@
  private:
   kj::Promise<void> ready(tcp::socket::wait_type what) {
     auto waiting = kj::newPromiseAndFulfiller<void>();
-    auto fulfiller =
-        std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
-            kj::mv(waiting.fulfiller));
-    socket_->async_wait(
-        what, [fulfiller, kept = socket_](const error_code& code) {
-          if (code) {
-            (*fulfiller)->reject(failure(code));
-          } else {
-            (*fulfiller)->fulfill();
-          }
-        });
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+        kj::mv(waiting.fulfiller));
+    socket_->async_wait(what,
+                        [fulfiller, kept = socket_](const error_code& code) {
+                          if (code) {
+                            (*fulfiller)->reject(failure(code));
+                          } else {
+                            (*fulfiller)->fulfill();
+                          }
+                        });
     return kj::mv(waiting.promise);
   }
 
@@ -87,10 +84,9 @@
                               size_t done) {
     while (done < least) {
       error_code code;
-      const size_t got = socket_->read_some(
-          asio::buffer(buffer + done, most - done), code);
-      if (code == asio::error::would_block ||
-          code == asio::error::try_again) {
+      const size_t got =
+          socket_->read_some(asio::buffer(buffer + done, most - done), code);
+      if (code == asio::error::would_block || code == asio::error::try_again) {
         return ready(tcp::socket::wait_read)
             .then([this, buffer, least, most, done] {
               return read_on(buffer, least, most, done);
@@ -107,8 +103,7 @@
     while (size > 0) {
       error_code code;
       const size_t put = socket_->write_some(asio::buffer(buffer, size), code);
-      if (code == asio::error::would_block ||
-          code == asio::error::try_again) {
+      if (code == asio::error::would_block || code == asio::error::try_again) {
         return ready(tcp::socket::wait_write).then([this, buffer, size] {
           return write_on(buffer, size);
         });
--- a/packages/peers/src/clients.cpp
+++ b/packages/peers/src/clients.cpp
@@ -23,9 +23,9 @@
 struct traffic_client::state {
   state(event_loop& loop, options settings, stamping stamps)
       : clock(std::move(stamps)),
-        link(std::make_shared<traffic_link>(
-            loop.context(), settings.to, settings.from_ip,
-            settings.connect_timeout)) {}
+        link(std::make_shared<traffic_link>(loop.context(), settings.to,
+                                            settings.from_ip,
+                                            settings.connect_timeout)) {}
 
   stamping clock;
   std::shared_ptr<traffic_link> link;
@@ -36,7 +36,9 @@
     : state_(std::make_shared<state>(loop, std::move(settings),
                                      std::move(clock))) {}
 
-traffic_client::~traffic_client() { state_->link->close(); }
+traffic_client::~traffic_client() {
+  state_->link->close();
+}
 
 void traffic_client::run(const part& work, duration silence, part_done done) {
   const auto finish = std::make_shared<part_done>(std::move(done));
@@ -76,7 +78,8 @@
         request.setPartId(part_id);
         auto list =
             request.initAttempts(static_cast<unsigned>(attempts.size()));
-        for (unsigned i = 0; i < list.size(); ++i) list.set(i, attempts[i]);
+        for (unsigned i = 0; i < list.size(); ++i)
+          list.set(i, attempts[i]);
         return request.send().ignoreResult();
       },
       control_silence, [](const peer_error&) {});
@@ -135,7 +138,8 @@
                                      std::move(clock))) {}
 
 control_client::~control_client() {
-  for (const auto& [to, link] : state_->links) link->close();
+  for (const auto& [to, link] : state_->links)
+    link->close();
 }
 
 void control_client::send(const endpoint& to,
@@ -158,13 +162,14 @@
         auto body = request.initMessage();
         detail::write(message, body);
         detail::write(kept->clock.tick(), body.initStamp());
-        kept->sent.bytes +=
-            body.totalSize().wordCount * sizeof(capnp::word);
+        kept->sent.bytes += body.totalSize().wordCount * sizeof(capnp::word);
         return request.send().ignoreResult();
       },
       control_silence, [](const peer_error&) {});
 }
 
-control_traffic control_client::sent() const noexcept { return state_->sent; }
+control_traffic control_client::sent() const noexcept {
+  return state_->sent;
+}
 
 }  // namespace medlarloft::peers
--- a/packages/peers/src/connection.hpp
+++ b/packages/peers/src/connection.hpp
@@ -6,8 +6,8 @@
 
 #include <capnp/rpc-twoparty.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -52,9 +52,8 @@
     link_.reset();
     if (old == nullptr) return;
     // The link may be what runs now; it is freed by a later handler.
-    boost::asio::post(context_, [old = std::move(old)]() mutable {
-      old.reset();
-    });
+    boost::asio::post(context_,
+                      [old = std::move(old)]() mutable { old.reset(); });
   }
 
   std::uint64_t replaced() const noexcept { return replaced_; }
@@ -93,8 +92,7 @@
     connecting_ = true;
     connect(context_, to_, from_ip_, connect_timeout_,
             [self = this->shared_from_this()](
-                boost::asio::ip::tcp::socket socket,
-                const std::string& error) {
+                boost::asio::ip::tcp::socket socket, const std::string& error) {
               self->opened(std::move(socket), error);
             });
   }
@@ -104,8 +102,8 @@
     std::vector<queued> calls = std::exchange(waiting_, {});
     if (!error.empty()) {
       for (const queued& one : calls) {
-        one.failed({peer_errc::not_connected,
-                    format_endpoint(to_) + ": " + error});
+        one.failed(
+            {peer_errc::not_connected, format_endpoint(to_) + ": " + error});
       }
       return;
     }
--- a/packages/peers/src/servers.cpp
+++ b/packages/peers/src/servers.cpp
@@ -60,7 +60,8 @@
     const auto asked = context.getParams().getAttempts();
     std::vector<query::attempt_id> attempts;
     attempts.reserve(asked.size());
-    for (const std::uint64_t attempt : asked) attempts.push_back(attempt);
+    for (const std::uint64_t attempt : asked)
+      attempts.push_back(attempt);
     hooks_.cancel(context.getParams().getPartId(), std::move(attempts));
     return kj::READY_NOW;
   }
@@ -120,7 +121,8 @@
                     .then([this, at] { gone_.push_back(at); })
                     .eagerlyEvaluate(nullptr);
     // Connections that ended are freed here, outside of their own promises.
-    for (const auto& ended : std::exchange(gone_, {})) links_.erase(ended);
+    for (const auto& ended : std::exchange(gone_, {}))
+      links_.erase(ended);
   }
 
   void drop() {
@@ -130,8 +132,7 @@
 
  private:
   struct link {
-    link(kj::Own<kj::AsyncIoStream> opened,
-         capnp::Capability::Client bootstrap)
+    link(kj::Own<kj::AsyncIoStream> opened, capnp::Capability::Client bootstrap)
         : stream(kj::mv(opened)),
           network(*stream, capnp::rpc::twoparty::Side::SERVER),
           rpc(capnp::makeRpcServer(network, kj::mv(bootstrap))) {}
@@ -152,12 +153,12 @@
   if (!failed) acceptor.open(at.protocol(), failed);
   if (!failed) acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
   if (!failed) acceptor.bind(at, failed);
-  if (!failed) acceptor.listen(asio::socket_base::max_listen_connections,
-                               failed);
+  if (!failed)
+    acceptor.listen(asio::socket_base::max_listen_connections, failed);
   if (failed) {
-    return peer_error{peer_errc::not_connected,
-                      "cannot listen on " + format_endpoint(listen) + ": " +
-                          failed.message()};
+    return peer_error{peer_errc::not_connected, "cannot listen on " +
+                                                    format_endpoint(listen) +
+                                                    ": " + failed.message()};
   }
   return outcome::success();
 }
@@ -182,13 +183,12 @@
                      error_code failed, tcp::socket socket) {
           if (failed == asio::error::operation_aborted) return;
           if (!failed) {
-            asio::post(serving, [self, worker,
-                                 socket = std::move(socket)]() mutable {
-              self->links[worker].add(
-                  std::move(socket),
-                  kj::heap<traffic_service>(self->hooks(worker),
-                                            self->clock));
-            });
+            asio::post(
+                serving, [self, worker, socket = std::move(socket)]() mutable {
+                  self->links[worker].add(
+                      std::move(socket), kj::heap<traffic_service>(
+                                             self->hooks(worker), self->clock));
+                });
           }
           self->accept_next();
         });
@@ -203,9 +203,8 @@
   std::vector<accepted_links> links;
 };
 
-traffic_server::traffic_server(std::vector<event_loop*> loops,
-                               endpoint listen, hooks_of hooks,
-                               stamping clock)
+traffic_server::traffic_server(std::vector<event_loop*> loops, endpoint listen,
+                               hooks_of hooks, stamping clock)
     : state_(std::make_shared<state>(std::move(loops), std::move(listen),
                                      std::move(hooks), std::move(clock))) {}
 traffic_server::~traffic_server() = default;
@@ -223,7 +222,9 @@
   });
 }
 
-void traffic_server::drop(std::size_t worker) { state_->links[worker].drop(); }
+void traffic_server::drop(std::size_t worker) {
+  state_->links[worker].drop();
+}
 
 struct control_server::state : std::enable_shared_from_this<state> {
   state(event_loop& on, endpoint at, delivered handle, stamping stamps)
@@ -255,9 +256,8 @@
 
 control_server::control_server(event_loop& loop, endpoint listen,
                                delivered on_message, stamping clock)
-    : state_(std::make_shared<state>(loop, std::move(listen),
-                                     std::move(on_message),
-                                     std::move(clock))) {}
+    : state_(std::make_shared<state>(
+          loop, std::move(listen), std::move(on_message), std::move(clock))) {}
 
 control_server::~control_server() = default;
 
--- a/packages/peers/src/wire_codec.cpp
+++ b/packages/peers/src/wire_codec.cpp
@@ -26,7 +26,9 @@
   return static_cast<Enum>(value);
 }
 
-unsigned count_of(std::size_t size) { return static_cast<unsigned>(size); }
+unsigned count_of(std::size_t size) {
+  return static_cast<unsigned>(size);
+}
 
 void write(const query::row& from, wire::Row::Builder to) {
   to.setId(from.id);
@@ -65,7 +67,8 @@
   result.newest = from.getNewest();
   result.latency = span(from.getLatency());
   result.answer.rows.reserve(from.getRows().size());
-  for (const auto row : from.getRows()) result.answer.rows.push_back(read(row));
+  for (const auto row : from.getRows())
+    result.answer.rows.push_back(read(row));
   return result;
 }
 
@@ -145,8 +148,7 @@
   work.part_id = from.getPartId();
   work.request_id = text_of(from.getRequestId());
   work.service = text_of(from.getService());
-  work.priority =
-      checked(from.getPriority(), notes::service_class::ordinary);
+  work.priority = checked(from.getPriority(), notes::service_class::ordinary);
   work.body = text_of(from.getBody());
   work.remaining = span(from.getRemaining());
   work.idempotent = from.getIdempotent();
@@ -154,7 +156,8 @@
   work.flush_after = span(from.getFlushAfter());
   work.tasks.reserve(from.getTasks().size());
   for (const auto task : from.getTasks()) {
-    work.tasks.push_back({task.getAttempt(), text_of(task.getLeaf()),
+    work.tasks.push_back({task.getAttempt(),
+                          text_of(task.getLeaf()),
                           text_of(task.getShard()),
                           {task.getRangeFrom(), task.getRangeTo()},
                           task.getSnapshot()});
@@ -201,7 +204,8 @@
     held[i].setText(from.notes[i].text);
   }
   auto words = to.initWords(count_of(from.words.size()));
-  for (unsigned i = 0; i < words.size(); ++i) write(from.words[i], words[i]);
+  for (unsigned i = 0; i < words.size(); ++i)
+    write(from.words[i], words[i]);
 }
 
 membership::message read(wire::Message::Reader from) {
@@ -221,7 +225,8 @@
     value.notes.push_back(
         {note.getVersion(), note.getBase(), text_of(note.getText())});
   }
-  for (const auto word : from.getWords()) value.words.push_back(read(word));
+  for (const auto word : from.getWords())
+    value.words.push_back(read(word));
   return value;
 }
 
--- a/packages/peers/tests/peers_test.cpp
+++ b/packages/peers/tests/peers_test.cpp
@@ -56,9 +56,9 @@
             },
             no_clock());
         ASSERT_TRUE(server->start().has_value());
-        client.emplace(
-            loop, traffic_client::options{.to = {"127.0.0.1", 17361}},
-            no_clock());
+        client.emplace(loop,
+                       traffic_client::options{.to = {"127.0.0.1", 17361}},
+                       no_clock());
         client->run(sample_part(), 1s, [&](auto answer) {
           got = std::move(answer);
           loop.stop();
@@ -92,9 +92,9 @@
             },
             no_clock());
         ASSERT_TRUE(server->start().has_value());
-        client.emplace(
-            loop, traffic_client::options{.to = {"127.0.0.1", 17362}},
-            no_clock());
+        client.emplace(loop,
+                       traffic_client::options{.to = {"127.0.0.1", 17362}},
+                       no_clock());
         client->run(sample_part(), 50ms, [&](auto answer) {
           first = answer.error();
           loop.stop();
@@ -115,9 +115,9 @@
   std::optional<traffic_client> client;
   loop.run(
       [&] {
-        client.emplace(
-            loop, traffic_client::options{.to = {"127.0.0.1", 17369}},
-            no_clock());
+        client.emplace(loop,
+                       traffic_client::options{.to = {"127.0.0.1", 17369}},
+                       no_clock());
         client->run(sample_part(), 1s, [&](auto answer) {
           error = answer.error();
           loop.stop();
@@ -134,14 +134,11 @@
   sent.from = "d1";
   sent.version = 7;
   sent.digest = 99;
-  sent.updates = {{"d2",
-                   "a",
-                   {"127.0.0.1", 5},
-                   3,
-                   membership::member_state::leaving}};
+  sent.updates = {
+      {"d2", "a", {"127.0.0.1", 5}, 3, membership::member_state::leaving}};
   sent.notes = {{7, 6, "{}"}};
-  sent.words = {{.leaf = "l", .warm_start_id = "s", .age = 5ms,
-                 .leaving = true}};
+  sent.words = {
+      {.leaf = "l", .warm_start_id = "s", .age = 5ms, .leaving = true}};
   const auto read = decode(encode(sent));
   ASSERT_TRUE(read.has_value());
   EXPECT_EQ(read.value().updates, sent.updates);
--- a/packages/placement/include/medlarloft/placement.hpp
+++ b/packages/placement/include/medlarloft/placement.hpp
@@ -49,12 +49,9 @@
 
   /// As above, but takes over from `before` what cannot have changed.
   home_table(const notes::fleet_model& model,
-             const notes::fleet_model& model_before,
-             const home_table& before);
+             const notes::fleet_model& model_before, const home_table& before);
 
-  const home_set& homes(leaf_index leaf) const noexcept {
-    return homes_[leaf];
-  }
+  const home_set& homes(leaf_index leaf) const noexcept { return homes_[leaf]; }
   std::size_t size() const noexcept { return homes_.size(); }
   /// Returns the leafs that have the daemon among their homes.
   std::vector<leaf_index> leafs_of(daemon_index daemon) const;
@@ -146,8 +143,8 @@
 /// its region, then the rest; none that leaves, is gone, or whose data centre
 /// is out. A change of one daemon moves only the callers that had it.
 std::vector<daemon_index> addresses_for(
-    const notes::fleet_model& model,
-    const std::vector<daemon_status>& status, const address_request& request);
+    const notes::fleet_model& model, const std::vector<daemon_status>& status,
+    const address_request& request);
 
 /// Returns the daemon that alone runs a non-idempotent request, or nothing for
 /// an empty fleet. It depends on the published fleet only, never on who seems
--- a/packages/placement/src/addresses.cpp
+++ b/packages/placement/src/addresses.cpp
@@ -26,8 +26,7 @@
 }  // namespace
 
 std::vector<daemon_index> addresses_for(
-    const notes::fleet_model& model,
-    const std::vector<daemon_status>& status,
+    const notes::fleet_model& model, const std::vector<daemon_status>& status,
     const address_request& request) {
   const std::uint64_t seed = hash64(request.caller);
   std::vector<candidate> candidates;
--- a/packages/placement/src/homes.cpp
+++ b/packages/placement/src/homes.cpp
@@ -14,8 +14,7 @@
 constexpr std::uint64_t no_group = 0;
 
 std::size_t bucket_of(const notes::shard& part, std::size_t shards) {
-  const std::size_t wanted =
-      (shards + shards_per_group - 1) / shards_per_group;
+  const std::size_t wanted = (shards + shards_per_group - 1) / shards_per_group;
   const std::size_t buckets = std::bit_ceil(wanted);
   return static_cast<std::size_t>(part.range.from /
                                   (notes::key_space / buckets));
@@ -80,8 +79,8 @@
     home_set best = known != ranked_.end()
                         ? known->second
                         : (ranked_[key] = best_of(server.data_centre, key));
-    best.count = static_cast<std::uint8_t>(
-        std::min<std::size_t>(best.count, holders));
+    best.count =
+        static_cast<std::uint8_t>(std::min<std::size_t>(best.count, holders));
     return best;
   }
 
@@ -95,11 +94,13 @@
     for (const daemon_index candidate : candidates) {
       const std::uint64_t score = mix64(key, hashes_[candidate]);
       std::size_t at = homes.count;
-      while (at > 0 && best[at - 1].score < score) --at;
+      while (at > 0 && best[at - 1].score < score)
+        --at;
       if (at >= max_homes) continue;
-      const std::size_t last = std::min<std::size_t>(homes.count,
-                                                     max_homes - 1);
-      for (std::size_t i = last; i > at; --i) best[i] = best[i - 1];
+      const std::size_t last =
+          std::min<std::size_t>(homes.count, max_homes - 1);
+      for (std::size_t i = last; i > at; --i)
+        best[i] = best[i - 1];
       best[at] = {score, candidate};
       if (homes.count < max_homes) ++homes.count;
     }
@@ -133,8 +134,7 @@
   return static_cast<std::size_t>(found - all.begin());
 }
 
-home_table::home_table(const fleet_model& model)
-    : groups_(group_leafs(model)) {
+home_table::home_table(const fleet_model& model) : groups_(group_leafs(model)) {
   ranker ranking(model);
   homes_.reserve(model.leafs.size());
   for (leaf_index i = 0; i < model.leafs.size(); ++i) {
--- a/packages/placement/tests/placement_test.cpp
+++ b/packages/placement/tests/placement_test.cpp
@@ -13,7 +13,9 @@
 
 using namespace std::chrono_literals;
 
-bool nobody_gone(daemon_index /*daemon*/) { return false; }
+bool nobody_gone(daemon_index /*daemon*/) {
+  return false;
+}
 
 TEST(home_table, keeps_homes_in_the_leafs_data_centre) {
   const auto model = sample_fleet({});
@@ -43,9 +45,8 @@
 }
 
 TEST(home_table, groups_neighbouring_shards_on_few_relays) {
-  const auto model =
-      sample_fleet({.data_centres = 1, .daemons_per_centre = 200,
-                    .shards = 512});
+  const auto model = sample_fleet(
+      {.data_centres = 1, .daemons_per_centre = 200, .shards = 512});
   const home_table table(*model);
   std::set<daemon_index> relays;
   for (leaf_index leaf = 0; leaf < model->leafs.size(); ++leaf) {
@@ -106,8 +107,8 @@
   const home_table table(*model);
   const home_set& homes = table.homes(0);
   const auto first_gone = [&](daemon_index d) { return d == homes.ranked[0]; };
-  const share second = share_of(model->leafs[0], homes, homes.ranked[1],
-                                first_gone);
+  const share second =
+      share_of(model->leafs[0], homes, homes.ranked[1], first_gone);
   EXPECT_EQ(second.slots, 4U);
   EXPECT_EQ(second.cold, 1U);
   const share usual =
@@ -139,8 +140,8 @@
                                   .daemons_per_centre = daemons,
                                   .shards = 3,
                                   .slots = 3});
-  const auto changes = *rc::gen::container<std::vector<int>>(
-      rc::gen::inRange(1, 1 << daemons));
+  const auto changes =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 1 << daemons));
   std::vector<share_ledger> ledgers(daemons, share_ledger(hold_off));
   struct news {
     time_point at;
@@ -176,9 +177,9 @@
     std::vector<leaf_share> granted;
     for (leaf_index leaf = 0; self && leaf < fleet.leafs.size(); ++leaf) {
       if (!table.homes(leaf).rank_of(*self)) continue;
-      granted.push_back({fleet.leafs[leaf].id,
-                         share_of(fleet.leafs[leaf], table.homes(leaf), *self,
-                                  nobody_gone)});
+      granted.push_back(
+          {fleet.leafs[leaf].id,
+           share_of(fleet.leafs[leaf], table.homes(leaf), *self, nobody_gone)});
     }
     ledgers[one.daemon].grant(one.at, granted);
     for (const notes::leaf& leaf : base->leafs) {
@@ -204,9 +205,9 @@
 
 TEST(addresses_for, names_the_callers_data_centre_first) {
   const auto model = sample_fleet({});
-  const auto chosen = addresses_for(
-      *model, all_alive(*model),
-      {.data_centre = "dc000001", .caller = "c", .count = 4});
+  const auto chosen =
+      addresses_for(*model, all_alive(*model),
+                    {.data_centre = "dc000001", .caller = "c", .count = 4});
   ASSERT_EQ(chosen.size(), 4U);
   for (std::size_t i = 0; i < 3; ++i) {
     EXPECT_EQ(model->daemons[chosen[i]].data_centre, "dc000001");
@@ -233,8 +234,8 @@
 TEST(addresses_for, is_stable_when_another_daemon_goes) {
   const auto model = sample_fleet({.daemons_per_centre = 8});
   auto status = all_alive(*model);
-  const address_request request{.data_centre = "dc000000", .caller = "c",
-                                .count = 3};
+  const address_request request{
+      .data_centre = "dc000000", .caller = "c", .count = 3};
   const auto before = addresses_for(*model, status, request);
   for (daemon_index other = 0; other < 8; ++other) {
     if (std::ranges::find(before, other) != before.end()) continue;
@@ -253,7 +254,8 @@
         {.data_centre = "dc000000", .caller = std::to_string(c), .count = 1});
     ++callers[chosen[0]];
   }
-  for (std::size_t d = 0; d < 4; ++d) EXPECT_NEAR(callers[d], 1000, 150);
+  for (std::size_t d = 0; d < 4; ++d)
+    EXPECT_NEAR(callers[d], 1000, 150);
 }
 
 TEST(ownership_history, keeps_ownership_through_changes_elsewhere) {
--- a/packages/placement/tests/sample_fleet.hpp
+++ b/packages/placement/tests/sample_fleet.hpp
@@ -45,8 +45,8 @@
   const std::uint64_t span = notes::key_space / shape.shards;
   for (std::size_t s = 0; s < shape.shards; ++s) {
     notes::shard part{.id = numbered("s", s)};
-    part.range = {span * s, s + 1 == shape.shards ? notes::key_space
-                                                  : span * (s + 1)};
+    part.range = {span * s,
+                  s + 1 == shape.shards ? notes::key_space : span * (s + 1)};
     for (std::size_t c = 0; c < shape.data_centres; ++c) {
       const std::size_t index = s * shape.data_centres + c;
       part.leafs.push_back(static_cast<notes::leaf_index>(index));
--- a/packages/query/src/execution.cpp
+++ b/packages/query/src/execution.cpp
@@ -6,9 +6,7 @@
 namespace medlarloft::query {
 
 execution::execution(request asked, policy rules, hooks choices)
-    : request_(std::move(asked)),
-      policy_(rules),
-      hooks_(std::move(choices)) {
+    : request_(std::move(asked)), policy_(rules), hooks_(std::move(choices)) {
   if (request_.snapshot != 0) pin(request_.snapshot);
 }
 
@@ -22,8 +20,9 @@
   const snapshot_id snapshot = gather_ ? gather_->pinned() : UINT64_MAX;
   const notes::partition_map& map = request_.service->map_of(snapshot);
   for (const notes::shard& part : map.shards) {
-    const bool wanted = !request_.keys || (request_.keys->from < part.range.to &&
-                                           part.range.from < request_.keys->to);
+    const bool wanted =
+        !request_.keys || (request_.keys->from < part.range.to &&
+                           part.range.from < request_.keys->to);
     if (!wanted) continue;
     shards_.push_back({.shard = &part});
     total_ += part.range.size();
@@ -77,13 +76,11 @@
   return request_.idempotent || !state.may_have_run;
 }
 
-void execution::retry_or_settle(time_point now, std::size_t index,
-                                bool costs) {
+void execution::retry_or_settle(time_point now, std::size_t index, bool costs) {
   shard_state& state = shards_[index];
   if (state.settled || !state.open.empty()) return;
-  const bool left =
-      state.tried.leafs.size() < policy_.max_attempts_per_shard &&
-      state.tried.refused.size() < policy_.max_refusals_per_shard;
+  const bool left = state.tried.leafs.size() < policy_.max_attempts_per_shard &&
+                    state.tried.refused.size() < policy_.max_refusals_per_shard;
   const bool allowed = left && may_repeat(state) &&
                        (!costs || hooks_.take_extra(attempt_kind::retry));
   if (!allowed) {
@@ -99,8 +96,7 @@
   shard_state& state = shards_[found->second];
   const auto open = std::ranges::find(state.open, id, &attempt::id);
   if (open == state.open.end()) return std::nullopt;
-  return located{&state,
-                 static_cast<std::size_t>(open - state.open.begin())};
+  return located{&state, static_cast<std::size_t>(open - state.open.begin())};
 }
 
 void execution::drop_attempt(located where) {
@@ -152,8 +148,8 @@
 
 void execution::note_gone(const attempt_failure& how) {
   if (!gather_ || how.newest <= gather_->pinned()) return;
-  newer_seen_ = newer_seen_ == 0 ? how.newest
-                                 : std::min(newer_seen_, how.newest);
+  newer_seen_ =
+      newer_seen_ == 0 ? how.newest : std::min(newer_seen_, how.newest);
 }
 
 actions execution::on_failure(time_point now, attempt_id attempt,
@@ -235,7 +231,8 @@
                        now + policy_.rerun_needs < request_.deadline;
   if (newer == 0 || !allowed) return false;
   ++tally_.reruns;
-  for (shard_state& state : shards_) cancel_open(state);
+  for (shard_state& state : shards_)
+    cancel_open(state);
   pin(newer);
   newer_seen_ = 0;
   enough_since_.reset();
@@ -255,8 +252,9 @@
     if (!enough() && rerun_on(now, newer_seen_)) return check_done(now);
     return finish(now, last_reason_);
   }
-  const bool waited = enough_since_ &&
-                      now >= *enough_since_ + request_.service->stop_early_after;
+  const bool waited =
+      enough_since_ &&
+      now >= *enough_since_ + request_.service->stop_early_after;
   if (waited) finish(now, "wanted coverage reached");
 }
 
@@ -267,7 +265,8 @@
   const bool open_left = std::ranges::any_of(
       shards_, [](const shard_state& state) { return !state.open.empty(); });
   if (open_left) ran_ = true;
-  for (shard_state& state : shards_) cancel_open(state);
+  for (shard_state& state : shards_)
+    cancel_open(state);
   final_outcome result;
   result.coverage.total = total_;
   if (gather_) {
@@ -291,8 +290,7 @@
 time_point execution::next_wake() const {
   time_point next = request_.deadline;
   if (enough_since_) {
-    next = std::min(next,
-                    *enough_since_ + request_.service->stop_early_after);
+    next = std::min(next, *enough_since_ + request_.service->stop_early_after);
   }
   for (const shard_state& state : shards_) {
     for (const attempt& one : state.open) {
--- a/packages/query/src/learning.cpp
+++ b/packages/query/src/learning.cpp
@@ -13,8 +13,7 @@
 }  // namespace
 
 void extra_budget::earn(std::uint32_t answered) noexcept {
-  tokens_ =
-      std::min(options_.reserve, tokens_ + options_.share * answered);
+  tokens_ = std::min(options_.reserve, tokens_ + options_.share * answered);
 }
 
 bool extra_budget::take() noexcept {
--- a/packages/query/tests/gather_test.cpp
+++ b/packages/query/tests/gather_test.cpp
@@ -57,26 +57,29 @@
   gather merged(7, 1000);
   std::bitset<keys> naive;
   std::set<std::string> naive_rows;
-  const auto answers = *rc::gen::container<std::vector<std::pair<int, int>>>(
-      rc::gen::pair(rc::gen::inRange<int>(0, keys),
-                    rc::gen::inRange<int>(0, keys)));
+  const auto answers =
+      *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(
+          rc::gen::inRange<int>(0, keys), rc::gen::inRange<int>(0, keys)));
   for (const auto& [a, b] : answers) {
     const auto from = static_cast<std::uint64_t>(std::min(a, b));
     const auto to = static_cast<std::uint64_t>(std::max(a, b)) + 1;
     bool free = true;
-    for (std::uint64_t k = from; k < to; ++k) free = free && !naive[k];
+    for (std::uint64_t k = from; k < to; ++k)
+      free = free && !naive[k];
     const std::string id = std::to_string(from);
     const auto problem =
         merged.add({0, keys}, {7, {from, to}, {{id, from, 0, ""}}});
     RC_ASSERT(problem.has_value() == !free);
     if (!free) continue;
-    for (std::uint64_t k = from; k < to; ++k) naive[k] = true;
+    for (std::uint64_t k = from; k < to; ++k)
+      naive[k] = true;
     naive_rows.insert(id);
   }
   RC_ASSERT(merged.covered().size() == naive.count());
   const auto gaps = merged.covered().missing_from({0, keys});
   std::size_t missing = 0;
-  for (const key_range& gap : gaps) missing += gap.size();
+  for (const key_range& gap : gaps)
+    missing += gap.size();
   RC_ASSERT(missing == keys - naive.count());
   RC_ASSERT(merged.take_rows().size() == naive_rows.size());
 }
--- a/packages/query/tests/sample_service.hpp
+++ b/packages/query/tests/sample_service.hpp
@@ -11,8 +11,7 @@
 
 namespace medlarloft::query {
 
-inline notes::service sample_service(std::size_t shards,
-                                     std::size_t replicas) {
+inline notes::service sample_service(std::size_t shards, std::size_t replicas) {
   notes::service service;
   service.id = "desk";
   service.deadline = std::chrono::milliseconds(100);
@@ -37,9 +36,8 @@
 inline std::optional<route> first_untried(const notes::shard& shard,
                                           const tried_routes& tried) {
   for (const leaf_index leaf : shard.leafs) {
-    const bool used =
-        std::find(tried.leafs.begin(), tried.leafs.end(), leaf) !=
-        tried.leafs.end();
+    const bool used = std::find(tried.leafs.begin(), tried.leafs.end(), leaf) !=
+                      tried.leafs.end();
     const bool refused = std::find(tried.refused.begin(), tried.refused.end(),
                                    route{leaf, 0}) != tried.refused.end();
     if (!used && !refused) return route{leaf, 0};
--- a/packages/server/src/context.cpp
+++ b/packages/server/src/context.cpp
@@ -27,8 +27,7 @@
   return ledger_.answer(id).value_or("");
 }
 
-void shared_ledger::fleet_changed(duration hold_off,
-                                  notes::model_ptr model) {
+void shared_ledger::fleet_changed(duration hold_off, notes::model_ptr model) {
   const std::lock_guard<std::mutex> guard(mutex_);
   owners_.add(wall_now(), hold_off, std::move(model));
 }
@@ -55,10 +54,10 @@
 }
 
 peers::stamping daemon_context::stamping() {
-  return {.tick = [this] { return clock.tick(wall_now()); },
-          .merge = [this](timeline::stamp remote) {
-            clock.merge(wall_now(), remote);
-          }};
+  return {
+      .tick = [this] { return clock.tick(wall_now()); },
+      .merge =
+          [this](timeline::stamp remote) { clock.merge(wall_now(), remote); }};
 }
 
 }  // namespace medlarloft::server
--- a/packages/server/src/control.cpp
+++ b/packages/server/src/control.cpp
@@ -14,8 +14,8 @@
 membership::group_options group_options_of(const daemon_context& context) {
   const settings::daemon_settings& values = context.settings;
   // A restarted daemon must outrank its former self.
-  const auto started = static_cast<std::uint64_t>(
-      wall_now().time_since_epoch().count());
+  const auto started =
+      static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
   return {.self = {.id = values.id,
                    .data_centre = values.data_centre,
                    .control = values.listen.control,
@@ -28,8 +28,7 @@
 
 sources::reader_options reader_options_of(const daemon_context& context) {
   return {.expected_daemons = context.settings.fleet.expected_daemons,
-          .expected_data_centres =
-              context.settings.fleet.expected_data_centres,
+          .expected_data_centres = context.settings.fleet.expected_data_centres,
           .random_seed = hash64(context.settings.id)};
 }
 
@@ -87,11 +86,12 @@
 void control::tick() {
   const time_point now = steady_clock::now();
   if (now - last_tick_ > context_.settings.control.sleep_gap) {
-    context_.event(timeline::event_kind::view_expired, "",
-                   "woke after " + format_duration(
-                                       std::chrono::duration_cast<
-                                           std::chrono::milliseconds>(
-                                           now - last_tick_)));
+    context_.event(
+        timeline::event_kind::view_expired, "",
+        "woke after " +
+            format_duration(
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    now - last_tick_)));
     // Others may have taken over the shares meanwhile.
     shares_.reset();
     ready_ = false;
@@ -175,8 +175,8 @@
   const bool loud = outcome.result == notes::verdict::conflict ||
                     outcome.result == notes::verdict::invalid;
   if (!loud) return;
-  const std::string reason = outcome.error ? outcome.error->text()
-                                           : "other content, same version";
+  const std::string reason =
+      outcome.error ? outcome.error->text() : "other content, same version";
   context_.event(timeline::event_kind::note_refused, source, reason);
 }
 
@@ -203,8 +203,8 @@
                          });
   group_.set_published(published);
   publish();
-  carry_out(group_.set_note(now, model.version, model.digest, root,
-                            first_hand));
+  carry_out(
+      group_.set_note(now, model.version, model.digest, root, first_hand));
 }
 
 void control::note_centres(const notes::fleet_model& before) {
@@ -251,14 +251,13 @@
   }
   if (!wanted.read) return;
   platform_.value(*wanted.read, [this](const sources::read_answer& answer) {
-    carry_out(
-        reader_.on_answer(steady_clock::now(), store_.version(), answer));
+    carry_out(reader_.on_answer(steady_clock::now(), store_.version(), answer));
   });
 }
 
 void control::poll_hosts() {
-  next_hosts_ = steady_clock::now() +
-                context_.settings.platform.host_list_every;
+  next_hosts_ =
+      steady_clock::now() + context_.settings.platform.host_list_every;
   if (!watching_ || polling_) return;
   polling_ = true;
   platform_.hosts([this](auto list) {
@@ -271,13 +270,13 @@
 // state changed, and repeat what still leaves, for those who restarted.
 void control::take_hosts(std::vector<sources::host_entry> list) {
   std::vector<sources::host_entry> news = hosts_.take(std::move(list));
-  for (const std::string& id : hosts_.leaving()) news.push_back({id, true});
+  for (const std::string& id : hosts_.leaving())
+    news.push_back({id, true});
   const notes::fleet_model& model = *store_.model();
   for (const sources::host_entry& host : news) {
     const notes::leaf* server = model.find_leaf(host.id);
     if (server == nullptr) continue;
-    const auto at = static_cast<notes::leaf_index>(server -
-                                                   model.leafs.data());
+    const auto at = static_cast<notes::leaf_index>(server - model.leafs.data());
     for (const notes::daemon_index home : homes_->homes(at).daemons()) {
       membership::server_word word{.leaf = host.id, .leaving = host.leaving};
       const std::string& id = model.daemons[home].id;
@@ -300,8 +299,8 @@
     for (const leaf_status& status : servers) {
       const notes::leaf* server = model.find_leaf(status.leaf);
       if (server == nullptr || !status.warm) continue;
-      const auto at = static_cast<notes::leaf_index>(server -
-                                                     model.leafs.data());
+      const auto at =
+          static_cast<notes::leaf_index>(server - model.leafs.data());
       for (const notes::daemon_index home : homes_->homes(at).daemons()) {
         const std::string& id = model.daemons[home].id;
         if (id == context_.settings.id) continue;
@@ -321,8 +320,7 @@
   const auto since = group_.gone_since(id);
   if (!since) return false;
   const time_point from = std::max(*since, started_);
-  return steady_clock::now() - from >
-         context_.settings.control.takeover_after;
+  return steady_clock::now() - from > context_.settings.control.takeover_after;
 }
 
 std::vector<placement::leaf_share> control::granted_shares() const {
@@ -345,20 +343,21 @@
   const time_point now = steady_clock::now();
   const duration expiry = context_.settings.control.view_expiry;
   std::optional<time_point> heard = group_.last_heard();
-  if (const auto read = reader_.last_success(); read && (!heard ||
-                                                         *read > *heard)) {
+  if (const auto read = reader_.last_success();
+      read && (!heard || *read > *heard)) {
     heard = read;
   }
   const bool alone = store_.model()->daemons.size() <= 1;
   if (alone && store_.version() > 0) heard = now;
-  const bool learnt = store_.version() > 0 &&
-                      (group_.joined() || reader_.last_success());
+  const bool learnt =
+      store_.version() > 0 && (group_.joined() || reader_.last_success());
   if (!ready_ && learnt && !stopping_) {
     ready_ = true;
-    logs::write(logs::level::info, "ready",
-                {{"version", store_.version()},
-                 {"after", std::chrono::duration_cast<
-                               std::chrono::milliseconds>(now - started_)}});
+    logs::write(
+        logs::level::info, "ready",
+        {{"version", store_.version()},
+         {"after", std::chrono::duration_cast<std::chrono::milliseconds>(
+                       now - started_)}});
   }
   if (!heard || !ready_) return;
   const time_point until = *heard + expiry;
@@ -380,14 +379,13 @@
   for (const notes::daemon_entry& daemon : fresh->model->daemons) {
     const membership::member_record* known = group_.find(daemon.id);
     using membership::member_state;
-    const bool serves = known != nullptr &&
-                        (known->state == member_state::alive ||
-                         known->state == member_state::suspected ||
-                         known->state == member_state::leaving);
+    const bool serves =
+        known != nullptr && (known->state == member_state::alive ||
+                             known->state == member_state::suspected ||
+                             known->state == member_state::leaving);
     fresh->status.push_back(
         {.alive = serves,
-         .leaving = known != nullptr &&
-                    known->state == member_state::leaving});
+         .leaving = known != nullptr && known->state == member_state::leaving});
   }
   if (stopping_ && fresh->self) fresh->status[*fresh->self].leaving = true;
   shares_.grant(now, granted_shares());
@@ -415,14 +413,13 @@
 
 void control::begin_stop() {
   stopping_ = true;
-  carry_out(group_.leave(steady_clock::now(),
-                         membership::member_state::leaving));
+  carry_out(
+      group_.leave(steady_clock::now(), membership::member_state::leaving));
   publish();
 }
 
 void control::finish_stop() {
-  carry_out(
-      group_.leave(steady_clock::now(), membership::member_state::left));
+  carry_out(group_.leave(steady_clock::now(), membership::member_state::left));
 }
 
 void control::close() {
--- a/packages/server/src/daemon.cpp
+++ b/packages/server/src/daemon.cpp
@@ -83,12 +83,14 @@
 }
 
 void daemon::state::fan_out(const view_ptr& current) {
-  for (const auto& each : workers) each->follow(current);
+  for (const auto& each : workers)
+    each->follow(current);
 }
 
 metrics::summary daemon::state::figures() const {
   std::vector<const metrics::recorder*> recorders;
-  for (const auto& each : workers) recorders.push_back(&each->figures());
+  for (const auto& each : workers)
+    recorders.push_back(&each->figures());
   return metrics::merge(recorders);
 }
 
@@ -102,15 +104,14 @@
   auto state = std::make_shared<gathering>();
   state->missing = workers.size();
   for (const auto& each : workers) {
-    boost::asio::post(
-        each->loop().context(), [this, state, done, from = each.get()] {
-          boost::asio::post(control_loop.context(),
-                            [state, done, part = from->pools().status()] {
-                              state->all.insert(state->all.end(), part.begin(),
-                                                part.end());
-                              if (--state->missing == 0) done(state->all);
-                            });
-        });
+    boost::asio::post(each->loop().context(), [this, state, done,
+                                               from = each.get()] {
+      boost::asio::post(
+          control_loop.context(), [state, done, part = from->pools().status()] {
+            state->all.insert(state->all.end(), part.begin(), part.end());
+            if (--state->missing == 0) done(state->all);
+          });
+    });
   }
 }
 
@@ -141,25 +142,24 @@
 
 peers::traffic_hooks daemon::state::traffic_hooks(std::size_t index) {
   worker& serving = *workers[index];
-  return {.run =
-              [&serving](peers::part work, auto reply) {
-                serving.parts().run(std::move(work), std::move(reply));
-              },
-          .collect =
-              [&serving](std::uint64_t part_id, auto reply) {
-                serving.parts().collect(part_id, std::move(reply));
-              },
-          .cancel =
-              [&serving](std::uint64_t part_id,
-                         const std::vector<query::attempt_id>& attempts) {
-                serving.parts().cancel(part_id, attempts);
-              },
-          .forward =
-              [&serving](const std::string& text, duration remaining,
-                         auto reply) {
-                serving.queries().forwarded(text, remaining,
-                                            std::move(reply));
-              }};
+  return {
+      .run =
+          [&serving](peers::part work, auto reply) {
+            serving.parts().run(std::move(work), std::move(reply));
+          },
+      .collect =
+          [&serving](std::uint64_t part_id, auto reply) {
+            serving.parts().collect(part_id, std::move(reply));
+          },
+      .cancel =
+          [&serving](std::uint64_t part_id,
+                     const std::vector<query::attempt_id>& attempts) {
+            serving.parts().cancel(part_id, attempts);
+          },
+      .forward =
+          [&serving](const std::string& text, duration remaining, auto reply) {
+            serving.queries().forwarded(text, remaining, std::move(reply));
+          }};
 }
 
 result<void, server_error> daemon::state::start() {
@@ -278,8 +278,10 @@
       },
       [&self, &workers_run] {
         if (workers_run) {
-          for (const auto& each : self.workers) each->stop();
-          for (const auto& each : self.workers) each->join();
+          for (const auto& each : self.workers)
+            each->stop();
+          for (const auto& each : self.workers)
+            each->join();
         }
         self.controller->close();
         self.signals.cancel();
--- a/packages/server/src/entry.cpp
+++ b/packages/server/src/entry.cpp
@@ -29,8 +29,8 @@
 }  // namespace
 
 entry::entry(daemon_context& context, peers::event_loop& loop,
-             metrics::recorder& figures, relay& own_relay,
-             std::size_t workers, std::uint64_t seed)
+             metrics::recorder& figures, relay& own_relay, std::size_t workers,
+             std::uint64_t seed)
     : context_(context),
       loop_(loop),
       figures_(figures),
@@ -45,7 +45,8 @@
 
 void entry::close() {
   const auto runs = runs_;
-  for (const auto& [id, run] : runs) run->abort("daemon stops");
+  for (const auto& [id, run] : runs)
+    run->abort("daemon stops");
   clients_.clear();
 }
 
@@ -100,8 +101,8 @@
       {.data_centre = front::parameter(request.target, "data_centre"),
        .caller = caller,
        .count = addresses_given});
-  front::address_answer given{
-      .keep_for = context_.settings.callers.keep_addresses};
+  front::address_answer given{.keep_for =
+                                  context_.settings.callers.keep_addresses};
   for (const notes::daemon_index daemon : chosen) {
     given.addresses.push_back(current->model->daemons[daemon].callers);
   }
@@ -113,10 +114,10 @@
   auto asked = front::read_query(request.body);
   if (!asked) {
     figures_.count(metrics::counter::refused_invalid);
-    answer({.status = front::status_of(front::outcome_kind::invalid),
-            .body = front::write_answer(
-                {.outcome = front::outcome_kind::invalid,
-                 .reason = asked.error().text()})});
+    answer(
+        {.status = front::status_of(front::outcome_kind::invalid),
+         .body = front::write_answer({.outcome = front::outcome_kind::invalid,
+                                      .reason = asked.error().text()})});
     return;
   }
   accept(std::move(asked).value(), false, duration::max(),
@@ -137,8 +138,7 @@
   }
   accept(std::move(asked).value(), true, remaining,
          [reply = std::move(reply)](const front::caller_answer& ready) {
-           reply({front::status_of(ready.outcome),
-                  front::write_answer(ready)});
+           reply({front::status_of(ready.outcome), front::write_answer(ready)});
          });
 }
 
@@ -199,8 +199,7 @@
            "issued_at_ms: is needed for a request that is not idempotent");
     return;
   }
-  const auto owner =
-      placement::owner_of(*work.current->model, work.request.id);
+  const auto owner = placement::owner_of(*work.current->model, work.request.id);
   if (!owner) {
     refuse(work, front::outcome_kind::not_run, "no daemon owns the request",
            default_retry_after);
@@ -221,8 +220,7 @@
     case admission::once_verdict::run:
       break;
     case admission::once_verdict::repeat: {
-      auto kept =
-          front::read_answer(context_.ledger.answer(work.request.id));
+      auto kept = front::read_answer(context_.ledger.answer(work.request.id));
       if (kept) {
         work.done(std::move(kept).value());
         return;
@@ -236,8 +234,10 @@
              "issued_at_ms: " + std::string(admission::name_of(verdict)));
       return;
     case admission::once_verdict::full:
-      refuse(work, front::outcome_kind::not_run, "too many requests to "
-             "remember", default_retry_after);
+      refuse(work, front::outcome_kind::not_run,
+             "too many requests to "
+             "remember",
+             default_retry_after);
       return;
     case admission::once_verdict::running:
     case admission::once_verdict::unknown:
@@ -275,41 +275,41 @@
   front::caller_query passed = work.asked;
   passed.idempotent = false;
   client(*work.current, owner)
-      .forward(front::write_query(passed), remaining,
-               remaining + forward_grace,
-               [this, work](peers::peer_result<peers::forwarded_answer>
-                                answer) {
-                 if (!answer) {
-                   const bool sent = answer.error().code !=
-                                     peers::peer_errc::not_connected;
-                   refuse(work,
-                          sent ? front::outcome_kind::unknown
-                               : front::outcome_kind::not_run,
-                          "owner: " + answer.error().text,
-                          default_retry_after);
-                   return;
-                 }
-                 auto read = front::read_answer(answer.value().body);
-                 if (!read) {
-                   refuse(work, front::outcome_kind::unknown,
-                          "the owner's answer is malformed");
-                   return;
-                 }
-                 work.done(std::move(read).value());
-               });
+      .forward(
+          front::write_query(passed), remaining, remaining + forward_grace,
+          [this, work](peers::peer_result<peers::forwarded_answer> answer) {
+            if (!answer) {
+              const bool sent =
+                  answer.error().code != peers::peer_errc::not_connected;
+              refuse(work,
+                     sent ? front::outcome_kind::unknown
+                          : front::outcome_kind::not_run,
+                     "owner: " + answer.error().text, default_retry_after);
+              return;
+            }
+            auto read = front::read_answer(answer.value().body);
+            if (!read) {
+              refuse(work, front::outcome_kind::unknown,
+                     "the owner's answer is malformed");
+              return;
+            }
+            work.done(std::move(read).value());
+          });
 }
 
 void entry::admit(pending work) {
   const time_point now = steady_clock::now();
   service_experience& known = experience(work.request.service->id);
   if (!known.throttle.admit(now, work.request.priority, random_.unit())) {
-    refuse(work, front::outcome_kind::not_run, "throttled: its backend "
-           "servers are overloaded", default_retry_after);
+    refuse(work, front::outcome_kind::not_run,
+           "throttled: its backend "
+           "servers are overloaded",
+           default_retry_after);
     return;
   }
   const std::uint64_t id = ++next_id_;
-  const admission::decision decision = gate_.arrive(
-      now, id, work.request.priority, work.request.deadline);
+  const admission::decision decision =
+      gate_.arrive(now, id, work.request.priority, work.request.deadline);
   if (decision.evicted) {
     const auto gone = waiting_.extract(*decision.evicted);
     if (!gone.empty()) {
@@ -354,7 +354,8 @@
   // Positions of leafs change with the model.
   if (known_version_ != work.current->model->version) {
     known_version_ = work.current->model->version;
-    for (auto& [name, entry] : services_) entry.snapshots.reset();
+    for (auto& [name, entry] : services_)
+      entry.snapshots.reset();
   }
   if (request.snapshot == 0) {
     request.snapshot = known.snapshots.best(service);
@@ -448,10 +449,11 @@
       break;
   }
   if (answer.outcome == front::outcome_kind::not_run) {
-    const auto others = placement::addresses_for(
-        *work.current->model, work.current->status,
-        {.data_centre = {}, .caller = work.asked.request_id,
-         .count = addresses_given + 1});
+    const auto others =
+        placement::addresses_for(*work.current->model, work.current->status,
+                                 {.data_centre = {},
+                                  .caller = work.asked.request_id,
+                                  .count = addresses_given + 1});
     for (const notes::daemon_index daemon : others) {
       if (daemon == work.current->self) continue;
       answer.addresses.push_back(work.current->model->daemons[daemon].callers);
--- a/packages/server/src/entry.hpp
+++ b/packages/server/src/entry.hpp
@@ -39,8 +39,7 @@
   /// Handles `POST /v1/query`.
   void query(const net::http_request& request, net::respond answer);
   /// Handles `GET /v1/addresses`.
-  void addresses(const net::http_request& request,
-                 const net::respond& answer);
+  void addresses(const net::http_request& request, const net::respond& answer);
   /// Handles a request that another daemon forwards to its owner.
   void forwarded(const std::string& text, duration remaining,
                  std::function<void(peers::forwarded_answer)> reply);
@@ -57,19 +56,18 @@
     time_point began;
   };
 
-  void accept(front::caller_query asked, bool is_forwarded,
-              duration allowed, answer_done done);
+  void accept(front::caller_query asked, bool is_forwarded, duration allowed,
+              answer_done done);
   void run_once(pending work, bool is_forwarded);
   void forward_to(notes::daemon_index owner, const pending& work);
   void admit(pending work);
   void start(std::uint64_t id, pending work);
   void ended(std::uint64_t id, const pending& work,
-             const query::final_outcome& outcome,
-             const query::tally& tally);
-  void refuse(const pending& work, front::outcome_kind kind,
-              std::string reason, duration retry_after = {});
-  query::policy policy_for(const notes::service& service,
-                           time_point deadline, bool idempotent);
+             const query::final_outcome& outcome, const query::tally& tally);
+  void refuse(const pending& work, front::outcome_kind kind, std::string reason,
+              duration retry_after = {});
+  query::policy policy_for(const notes::service& service, time_point deadline,
+                           bool idempotent);
   service_experience& experience(const std::string& service);
   peers::traffic_client& client(const view& current,
                                 notes::daemon_index daemon);
--- a/packages/server/src/leaf_pool.cpp
+++ b/packages/server/src/leaf_pool.cpp
@@ -16,8 +16,7 @@
 constexpr std::uint32_t spare_connections = 1;
 
 duration until(time_point deadline) {
-  return std::max<duration>(duration::zero(),
-                            deadline - steady_clock::now());
+  return std::max<duration>(duration::zero(), deadline - steady_clock::now());
 }
 
 }  // namespace
@@ -94,8 +93,7 @@
       {.method = "POST",
        .target = "/v1/cancel",
        .body = "{\"attempt\":" + std::to_string(attempt) + "}"},
-      health_timeout,
-      [self = shared_from_this(), connection](const auto&) {
+      health_timeout, [self = shared_from_this(), connection](const auto&) {
         --self->checking_;
         self->give_back(connection);
       });
@@ -153,8 +151,7 @@
   if (closed_ || state_.leaving()) return;
   std::erase_if(idle_, [](const connection_ptr& c) { return !c->usable(); });
   const time_point now = steady_clock::now();
-  const auto in_use =
-      static_cast<std::uint32_t>(running_.size()) + checking_;
+  const auto in_use = static_cast<std::uint32_t>(running_.size()) + checking_;
   const auto idle = static_cast<std::uint32_t>(idle_.size());
   const bool useful = in_use < std::max(1U, state_.granted().slots) + 1;
   if (!useful || now < unreachable_until_) return;
@@ -197,10 +194,10 @@
   state_.started(now);
   work.task.request.deadline = until(work.task.deadline);
   figures_.count(metrics::counter::leaf_requests_sent);
-  net::http_request message{.method = "POST",
-                            .target = "/v1/query",
-                            .body = front::write_leaf_request(
-                                work.task.request)};
+  net::http_request message{
+      .method = "POST",
+      .target = "/v1/query",
+      .body = front::write_leaf_request(work.task.request)};
   const duration limit = std::min(context_.settings.query.leaf_timeout,
                                   work.task.request.deadline + answer_grace);
   running_.emplace(id, running{std::move(work), connection, now});
@@ -210,8 +207,8 @@
                        });
 }
 
-void leaf_pool::answered(
-    std::uint64_t id, const net::net_result<net::http_response>& answer) {
+void leaf_pool::answered(std::uint64_t id,
+                         const net::net_result<net::http_response>& answer) {
   const auto ended = running_.extract(id);
   const running& run = ended.mapped();
   const time_point now = steady_clock::now();
@@ -337,8 +334,8 @@
           const auto health = front::read_health(answer.value().body);
           if (health) {
             const bool left_before = self->state_.leaving();
-            self->report(self->state_.heard_health(
-                now, health.value().start_id, health.value().leaving));
+            self->report(self->state_.heard_health(now, health.value().start_id,
+                                                   health.value().leaving));
             if (self->state_.leaving() && !left_before) {
               self->context_.event(timeline::event_kind::server_leaving,
                                    self->config_.id, "drain signal");
@@ -361,7 +358,8 @@
   closed_ = true;
   timer_.cancel();
   fail_queued();
-  for (const connection_ptr& connection : idle_) connection->close();
+  for (const connection_ptr& connection : idle_)
+    connection->close();
   idle_.clear();
 }
 
--- a/packages/server/src/leaf_pool.hpp
+++ b/packages/server/src/leaf_pool.hpp
@@ -75,8 +75,8 @@
   connection_ptr take_idle();
   void give_back(const connection_ptr& connection);
   void send(std::uint64_t id, waiting work, const connection_ptr& connection);
-  void answered(std::uint64_t id, const net::net_result<net::http_response>&
-                                      answer);
+  void answered(std::uint64_t id,
+                const net::net_result<net::http_response>& answer);
   peers::task_result take_reply(const running& run,
                                 const net::http_response& response,
                                 backends::answer_facts& facts);
--- a/packages/server/src/operators.cpp
+++ b/packages/server/src/operators.cpp
@@ -18,9 +18,12 @@
 }
 
 json server_json(const leaf_status& server) {
-  return {{"leaf", server.leaf},           {"warm", server.warm},
-          {"leaving", server.leaving},     {"limit", server.limit},
-          {"in_flight", server.in_flight}, {"queued", server.queued},
+  return {{"leaf", server.leaf},
+          {"warm", server.warm},
+          {"leaving", server.leaving},
+          {"limit", server.limit},
+          {"in_flight", server.in_flight},
+          {"queued", server.queued},
           {"connections", server.connections}};
 }
 
@@ -80,18 +83,17 @@
 }
 
 void operators::servers(net::respond answer) {
-  servers_([answer = std::move(answer)](
-               const std::vector<leaf_status>& servers) {
-    json list = json::array();
-    for (const leaf_status& server : servers) {
-      list.push_back(server_json(server));
-    }
-    answer({.body = list.dump() + "\n"});
-  });
+  servers_(
+      [answer = std::move(answer)](const std::vector<leaf_status>& servers) {
+        json list = json::array();
+        for (const leaf_status& server : servers) {
+          list.push_back(server_json(server));
+        }
+        answer({.body = list.dump() + "\n"});
+      });
 }
 
-void operators::handle(const net::http_request& request,
-                       net::respond answer) {
+void operators::handle(const net::http_request& request, net::respond answer) {
   if (request.target == "/v1/status") {
     answer({.body = status()});
   } else if (request.target == "/v1/members") {
@@ -104,11 +106,10 @@
     answer({.body = notes::whole_note(*context_.board.current()->model).text +
                     "\n"});
   } else if (request.target == "/metrics") {
-    answer({.content_type = "text/plain; version=0.0.4",
-            .body = prometheus()});
+    answer({.content_type = "text/plain; version=0.0.4", .body = prometheus()});
   } else {
-    answer({.status = http_not_found,
-            .body = "{\"error\":\"no such page\"}\n"});
+    answer(
+        {.status = http_not_found, .body = "{\"error\":\"no such page\"}\n"});
   }
 }
 
--- a/packages/server/src/platform.hpp
+++ b/packages/server/src/platform.hpp
@@ -12,14 +12,14 @@
 namespace medlarloft::server {
 
 /// Reads one value of the configuration service, or watches it.
-using read_value = std::function<void(
-    const sources::read_request& wanted,
-    std::function<void(sources::read_answer)> done)>;
+using read_value =
+    std::function<void(const sources::read_request& wanted,
+                       std::function<void(sources::read_answer)> done)>;
 
 /// Reads the host list.
 using read_hosts = std::function<void(
-    std::function<void(result<std::vector<sources::host_entry>,
-                              sources::host_list_error>)>
+    std::function<void(
+        result<std::vector<sources::host_entry>, sources::host_list_error>)>
         done)>;
 
 struct platform_hooks {
--- a/packages/server/src/query_run.cpp
+++ b/packages/server/src/query_run.cpp
@@ -42,20 +42,20 @@
       timer_(owner.loop_.context()) {}
 
 query::hooks query_run::make_hooks() {
-  return {.pick =
-              [this](const notes::shard& shard,
-                     const query::tried_routes& tried) {
-                return owner_.choice_.pick(steady_clock::now(), *view_, shard,
-                                           tried);
-              },
-          .take_extra =
-              [this](query::attempt_kind kind) {
-                return owner_.take_extra(kind);
-              },
-          .new_attempt = [this] { return owner_.random_() >> tag_shift; }};
+  return {
+      .pick =
+          [this](const notes::shard& shard, const query::tried_routes& tried) {
+            return owner_.choice_.pick(steady_clock::now(), *view_, shard,
+                                       tried);
+          },
+      .take_extra =
+          [this](query::attempt_kind kind) { return owner_.take_extra(kind); },
+      .new_attempt = [this] { return owner_.random_() >> tag_shift; }};
 }
 
-void query_run::start() { carry_out(execution_.start(steady_clock::now())); }
+void query_run::start() {
+  carry_out(execution_.start(steady_clock::now()));
+}
 
 void query_run::abort(const std::string& reason) {
   carry_out(execution_.abort(steady_clock::now(), reason));
@@ -124,12 +124,11 @@
     auto [at, fresh] = parts.try_emplace(one.route.relay);
     peers::part& work = at->second;
     if (fresh) work.part_id = owner_.random_();
-    work.tasks.push_back(
-        {.attempt = one.attempt,
-         .leaf = model.leafs[one.route.leaf].id,
-         .shard = one.shard->id,
-         .range = one.shard->range,
-         .snapshot = one.snapshot});
+    work.tasks.push_back({.attempt = one.attempt,
+                          .leaf = model.leafs[one.route.leaf].id,
+                          .shard = one.shard->id,
+                          .range = one.shard->range,
+                          .snapshot = one.snapshot});
     attempts_[one.attempt] = {one.route, work.part_id, now};
     owner_.choice_.sent(*view_, one.route);
     if (one.kind != query::attempt_kind::hedge) continue;
@@ -172,11 +171,10 @@
 void query_run::collect(notes::daemon_index relay, std::uint64_t part_id) {
   const auto self = shared_from_this();
   if (view_->self == relay) {
-    owner_.relay_.collect(part_id,
-                          [self, relay, part_id](peers::part_answer answer) {
-                            self->part_answered(relay, part_id,
-                                                std::move(answer));
-                          });
+    owner_.relay_.collect(
+        part_id, [self, relay, part_id](peers::part_answer answer) {
+          self->part_answered(relay, part_id, std::move(answer));
+        });
     return;
   }
   owner_.client(*view_, relay)
@@ -185,9 +183,8 @@
       });
 }
 
-void query_run::part_answered(
-    notes::daemon_index relay, std::uint64_t part_id,
-    peers::peer_result<peers::part_answer> answer) {
+void query_run::part_answered(notes::daemon_index relay, std::uint64_t part_id,
+                              peers::peer_result<peers::part_answer> answer) {
   if (!answer) {
     part_failed(part_id, answer.error());
     return;
@@ -231,8 +228,7 @@
   const duration latency = now - info.mapped().sent_at;
   const auto failed = failure_of(result.how);
   owner_.choice_.ended(now, *view_, route, failed, latency);
-  service_experience& known =
-      owner_.experience(execution_.asked().service->id);
+  service_experience& known = owner_.experience(execution_.asked().service->id);
   if (result.newest != 0) {
     known.snapshots.heard(route.leaf, result.oldest, result.newest);
   }
--- a/packages/server/src/relay.cpp
+++ b/packages/server/src/relay.cpp
@@ -55,8 +55,8 @@
                         leaf_done done) {
   const auto found = pools_.find(leaf);
   if (found == pools_.end()) {
-    done({.attempt = task.request.attempt,
-          .how = peers::task_ending::not_sent});
+    done(
+        {.attempt = task.request.attempt, .how = peers::task_ending::not_sent});
     return;
   }
   found->second->submit(std::move(task), std::move(done));
@@ -75,18 +75,21 @@
 }
 
 void leaf_pools::tick() {
-  for (const auto& [leaf, pool] : pools_) pool->tick();
+  for (const auto& [leaf, pool] : pools_)
+    pool->tick();
 }
 
 void leaf_pools::close() {
-  for (const auto& [leaf, pool] : pools_) pool->close();
+  for (const auto& [leaf, pool] : pools_)
+    pool->close();
   pools_.clear();
 }
 
 std::vector<leaf_status> leaf_pools::status() const {
   std::vector<leaf_status> all;
   all.reserve(pools_.size());
-  for (const auto& [leaf, pool] : pools_) all.push_back(pool->status());
+  for (const auto& [leaf, pool] : pools_)
+    all.push_back(pool->status());
   return all;
 }
 
--- a/packages/server/src/replica_choice.cpp
+++ b/packages/server/src/replica_choice.cpp
@@ -31,11 +31,9 @@
   const notes::leaf& server = model.leafs[leaf];
   if (server.leaving || model.is_out(server.data_centre)) return;
   if (std::ranges::binary_search(current.leaving_hosts, server.id)) return;
-  const bool near = current.self &&
-                    model.daemons[*current.self].data_centre ==
-                        server.data_centre;
-  for (const notes::daemon_index relay :
-       current.homes->homes(leaf).daemons()) {
+  const bool near = current.self && model.daemons[*current.self].data_centre ==
+                                        server.data_centre;
+  for (const notes::daemon_index relay : current.homes->homes(leaf).daemons()) {
     const placement::daemon_status& status = current.status[relay];
     if (!status.alive && relay != current.self) continue;
     const query::route route{leaf, relay};
@@ -100,17 +98,16 @@
                            duration latency) {
   way& known = way_of(current, route);
   if (known.in_flight > 0) --known.in_flight;
-  if (failed == query::failure::not_run ||
-      failed == query::failure::not_sent) {
+  if (failed == query::failure::not_run || failed == query::failure::not_sent) {
     known.avoid_until = now + options_.avoid_refused;
   } else if (failed == query::failure::lost) {
     known.avoid_until = now + options_.avoid_lost;
   } else if (!failed) {
     known.avoid_until = {};
-    known.latency = known.latency == duration::zero()
-                        ? latency
-                        : known.latency +
-                              (latency - known.latency) / latency_weight;
+    known.latency =
+        known.latency == duration::zero()
+            ? latency
+            : known.latency + (latency - known.latency) / latency_weight;
   }
 }
 
--- a/packages/server/src/replica_choice.hpp
+++ b/packages/server/src/replica_choice.hpp
@@ -54,8 +54,7 @@
 
   way& way_of(const view& current, const query::route& route);
   void add_candidates(time_point now, const view& current,
-                      notes::leaf_index leaf,
-                      const query::tried_routes& tried,
+                      notes::leaf_index leaf, const query::tried_routes& tried,
                       std::vector<candidate>& candidates);
   std::optional<candidate> cheaper_of_two(
       const std::vector<candidate>& candidates, bool near);
--- a/packages/server/src/worker.cpp
+++ b/packages/server/src/worker.cpp
@@ -15,14 +15,14 @@
 
 }  // namespace
 
-worker::worker(daemon_context& context, std::size_t index,
-               std::size_t workers, std::vector<worker_port>& ports)
+worker::worker(daemon_context& context, std::size_t index, std::size_t workers,
+               std::vector<worker_port>& ports)
     : context_(context), index_(index), workers_(workers), ports_(ports) {
   pools_ = std::make_unique<leaf_pools>(context_, loop_.context(), figures_,
                                         index_, workers_);
   relay_ = std::make_unique<server::relay>(loop_.context(), ports_);
-  entry_ = std::make_unique<entry>(context_, loop_, figures_, *relay_,
-                                   workers_, fresh_seed());
+  entry_ = std::make_unique<entry>(context_, loop_, figures_, *relay_, workers_,
+                                   fresh_seed());
   tick_ = std::make_unique<boost::asio::steady_timer>(loop_.context());
   ports_[index] = {&loop_.context(), pools_.get()};
 }
@@ -49,7 +49,9 @@
   });
 }
 
-void worker::stop() { loop_.stop(); }
+void worker::stop() {
+  loop_.stop();
+}
 
 void worker::join() {
   if (thread_.joinable()) thread_.join();
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -183,8 +183,7 @@
   }
   section_reader fleet(document, "fleet");
   fleet.read_plain("expected_daemons", value.fleet.expected_daemons);
-  fleet.read_plain("expected_data_centres",
-                   value.fleet.expected_data_centres);
+  fleet.read_plain("expected_data_centres", value.fleet.expected_data_centres);
   section_reader stop(document, "stop");
   stop.read_positive("limit", value.stop.limit);
   const std::array<std::optional<document_error>, 6> problems{
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -51,8 +51,7 @@
   bad.replace(bad.find("127.0.0.1:4"), 11, "127.0.0.1:3");
   EXPECT_EQ(problem_of(bad).path, "listen.operators");
   EXPECT_EQ(
-      problem_of(with(
-                     R"(,"control":{"seeds":["127.0.0.1:9","127.0.0.1:9"]})"))
+      problem_of(with(R"(,"control":{"seeds":["127.0.0.1:9","127.0.0.1:9"]})"))
           .path,
       "control.seeds");
 }
@@ -64,9 +63,8 @@
 }
 
 TEST(settings, refuses_periods_that_contradict_each_other) {
-  EXPECT_EQ(
-      problem_of(with(R"(,"control":{"probe_timeout":"2s"})")).path,
-      "control.probe_timeout");
+  EXPECT_EQ(problem_of(with(R"(,"control":{"probe_timeout":"2s"})")).path,
+            "control.probe_timeout");
 }
 
 }  // namespace
--- a/packages/sources/include/medlarloft/sources.hpp
+++ b/packages/sources/include/medlarloft/sources.hpp
@@ -107,11 +107,11 @@
   void failed(time_point now, reader_outputs& out);
   void on_head(time_point now, note_version have, const read_answer& answer,
                reader_outputs& out);
-  void on_part(time_point now, const read_answer& answer,
-               reader_outputs& out);
+  void on_part(time_point now, const read_answer& answer, reader_outputs& out);
   void next_note(time_point now, reader_outputs& out);
   void refuse(time_point now, std::string reason, reader_outputs& out);
   bool take_token(time_point now);
+  token_bucket common_budget();
 
   reader_options options_;
   random_stream random_;
--- a/packages/sources/src/host_list.cpp
+++ b/packages/sources/src/host_list.cpp
@@ -34,8 +34,8 @@
   }
   std::vector<host_entry> hosts;
   for (const auto& entry : document.value().at("hosts")) {
-    hosts.push_back({entry.at("id").get<std::string>(),
-                     entry.value("leaving", false)});
+    hosts.push_back(
+        {entry.at("id").get<std::string>(), entry.value("leaving", false)});
   }
   std::ranges::sort(hosts, {}, &host_entry::id);
   return hosts;
@@ -46,8 +46,8 @@
   for (const host_entry& entry : list) {
     const auto known =
         std::ranges::lower_bound(hosts_, entry.id, {}, &host_entry::id);
-    const bool was_leaving = known != hosts_.end() &&
-                             known->id == entry.id && known->leaving;
+    const bool was_leaving =
+        known != hosts_.end() && known->id == entry.id && known->leaving;
     if (was_leaving != entry.leaving) changed.push_back(entry);
   }
   hosts_ = std::move(list);
--- a/packages/sources/src/note_reader.cpp
+++ b/packages/sources/src/note_reader.cpp
@@ -5,7 +5,7 @@
 namespace medlarloft::sources {
 namespace {
 
-constexpr double common_burst = 8;
+constexpr double common_burst = 1;
 constexpr double watcher_burst = 20;
 // Pause of the watch after each answer, so that a service which answers a
 // watch at once cannot be read in a tight loop.
@@ -16,9 +16,9 @@
 double reads_per_second(std::size_t expected_daemons,
                         std::size_t expected_data_centres, bool watcher) {
   if (watcher) {
-    const auto watchers = static_cast<double>(
-        std::max<std::size_t>(1, expected_data_centres) *
-        watchers_per_data_centre);
+    const auto watchers =
+        static_cast<double>(std::max<std::size_t>(1, expected_data_centres) *
+                            watchers_per_data_centre);
     return service_reads_per_second * watcher_share / watchers;
   }
   const auto daemons =
@@ -29,16 +29,23 @@
 note_reader::note_reader(reader_options options)
     : options_(options),
       random_(options.random_seed),
-      common_({.rate_per_second =
-                   reads_per_second(options.expected_daemons,
-                                    options.expected_data_centres, false),
-               .burst = common_burst}),
-      watching_({.rate_per_second =
-                     reads_per_second(options.expected_daemons,
-                                      options.expected_data_centres, true),
-                 .burst = watcher_burst}),
+      common_(common_budget()),
+      watching_(
+          {.rate_per_second = reads_per_second(
+               options.expected_daemons, options.expected_data_centres, true),
+           .burst = watcher_burst}),
       pause_(options.retry_least) {}
 
+// Begins with a random part of a token: daemons that begin together do not
+// read together.
+token_bucket note_reader::common_budget() {
+  return token_bucket(
+      {.rate_per_second = reads_per_second(
+           options_.expected_daemons, options_.expected_data_centres, false),
+       .burst = common_burst,
+       .initial = random_.unit()});
+}
+
 bool note_reader::take_token(time_point now) {
   if (watcher_ && watching_.take(now)) return true;
   return common_.take(now);
@@ -50,7 +57,12 @@
   if (watcher && !watcher_) {
     watch_from_ = now + random_.below(options_.takeover_jitter);
   }
-  if (bootstrap && !bootstrap_) alone_since_ = now;
+  if (bootstrap && !bootstrap_) {
+    alone_since_ = now;
+    common_ = common_budget();
+    // Nothing is earned while peers are waited for.
+    common_.take(now + options_.alone_after, 0);
+  }
   if (!bootstrap) alone_since_.reset();
   watcher_ = watcher;
   bootstrap_ = bootstrap;
@@ -73,9 +85,9 @@
     return;
   }
   if (!take_token(now)) {
-    out.wake_at = std::min(common_.ready_at(now), watcher_
-                                                      ? watching_.ready_at(now)
-                                                      : time_point::max());
+    out.wake_at =
+        std::min(common_.ready_at(now),
+                 watcher_ ? watching_.ready_at(now) : time_point::max());
     return;
   }
   reading_ = true;
@@ -116,7 +128,8 @@
     return out;
   }
   last_success_ = now;
-  if (answer.text.size() > notes::max_value_bytes + notes::max_value_bytes / 20) {
+  if (answer.text.size() >
+      notes::max_value_bytes + notes::max_value_bytes / 20) {
     refuse(now,
            "value of " + std::to_string(answer.text.size()) +
                " bytes is larger than the service may hold",
--- a/packages/timeline/src/events.cpp
+++ b/packages/timeline/src/events.cpp
@@ -11,20 +11,19 @@
 namespace {
 
 constexpr std::array<std::string_view, 22> kind_names{
-    "note_accepted",   "note_refused",   "source_failed",   "source_recovered",
-    "member_joined",   "member_suspected", "member_left",   "member_failed",
-    "data_centre_out", "data_centre_in", "server_cold",     "server_warm",
-    "server_leaving",  "server_back",    "connection_silent",
-    "query_refused",   "hedge_sent",     "snapshot_rerun",  "view_expired",
-    "view_renewed",    "stop_began",     "stop_finished"};
+    "note_accepted",    "note_refused",  "source_failed",
+    "source_recovered", "member_joined", "member_suspected",
+    "member_left",      "member_failed", "data_centre_out",
+    "data_centre_in",   "server_cold",   "server_warm",
+    "server_leaving",   "server_back",   "connection_silent",
+    "query_refused",    "hedge_sent",    "snapshot_rerun",
+    "view_expired",     "view_renewed",  "stop_began",
+    "stop_finished"};
 
 nlohmann::json as_json(const event& entry) {
-  return {{"wall_us", entry.at.wall},
-          {"logical", entry.at.logical},
-          {"process", entry.process},
-          {"kind", name_of(entry.kind)},
-          {"subject", entry.subject},
-          {"detail", entry.detail}};
+  return {{"wall_us", entry.at.wall}, {"logical", entry.at.logical},
+          {"process", entry.process}, {"kind", name_of(entry.kind)},
+          {"subject", entry.subject}, {"detail", entry.detail}};
 }
 
 std::string dump(const nlohmann::json& value) {
@@ -106,7 +105,9 @@
   return line;
 }
 
-std::string to_json_line(const event& entry) { return dump(as_json(entry)); }
+std::string to_json_line(const event& entry) {
+  return dump(as_json(entry));
+}
 
 std::string to_json(const std::vector<event>& events) {
   nlohmann::json list = nlohmann::json::array();
--- a/packages/timeline/tests/timeline_test.cpp
+++ b/packages/timeline/tests/timeline_test.cpp
@@ -52,7 +52,8 @@
 
 TEST(ring, keeps_the_newest_in_order) {
   ring kept(3);
-  for (std::uint64_t i = 1; i <= 5; ++i) kept.add(numbered(i, "a"));
+  for (std::uint64_t i = 1; i <= 5; ++i)
+    kept.add(numbered(i, "a"));
   const auto events = kept.events();
   ASSERT_EQ(events.size(), 3U);
   EXPECT_EQ(events.front().at.wall, 3U);
