front: include what json_fields uses

Cause: the formatter's include order broke the build. Change: the header includes what it uses. Measured: the build is whole, all tests pass.

--- a/packages/front/src/json_fields.hpp
+++ b/packages/front/src/json_fields.hpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "medlarloft/documents.hpp"
+#include "medlarloft/query.hpp"
 
 namespace medlarloft::front::detail {
 
