placement: every version between counts for the shares

Cause: share_ledger.sum_over_all_daemons_keeps_the_limits fails (slots of one leaf 4 of 3): a daemon that takes version 4 without version 3 keeps a share that version 3 passed on to another, who may use it until it hears version 4. Ruled out: the hold-off's length, which equals the greatest delay in the test. Change: the note store tells each version on the way, and control grants them in order; a whole note that skips versions makes every share a gain again, and begins the ownership of request ids anew.

--- a/cmake/medlarloft_package.cmake
+++ b/cmake/medlarloft_package.cmake
@@ -6,6 +6,8 @@
   list(APPEND MEDLARLOFT_WARNINGS -Wno-maybe-uninitialized -Wno-restrict)
 endif()
 
+# Tests of a package that listen on fixed ports must not run side by side; such
+# a package sets MEDLARLOFT_TEST_LOCK before.
 # medlarloft_package(<name> [dependency ...])
 # Declares the library medlarloft::<name> from src/*.cpp with its public header
 # under include/medlarloft, and one test program from tests/*_test.cpp.
@@ -30,7 +32,8 @@
         MEDLARLOFT_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
       gtest_discover_tests(medlarloft_${name}_tests
         TEST_PREFIX "${name}/" DISCOVERY_TIMEOUT 60
-        PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=300")
+        PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=300"
+        RESOURCE_LOCK "${MEDLARLOFT_TEST_LOCK}")
     endif()
   endif()
 endfunction()
--- a/fakes/platform_fake.cpp
+++ b/fakes/platform_fake.cpp
@@ -95,7 +95,7 @@
       [this, pending](const auto&) { watch_value(pending); });
 }
 
-void platform_fake::watch_value(std::shared_ptr<watch> pending) {
+void platform_fake::watch_value(const std::shared_ptr<watch>& pending) {
   const std::string text = load(pending->key);
   const std::string tag = tag_of(text);
   if (text.empty()) {
--- a/fakes/platform_fake.hpp
+++ b/fakes/platform_fake.hpp
@@ -27,7 +27,7 @@
  private:
   struct watch;
   void value(const net::http_request& request, net::respond answer);
-  void watch_value(std::shared_ptr<watch> pending);
+  void watch_value(const std::shared_ptr<watch>& pending);
   std::string load(const std::string& key);
   void hosts(const net::respond& answer);
 
--- a/packages/logs/tests/logs_test.cpp
+++ b/packages/logs/tests/logs_test.cpp
@@ -29,6 +29,7 @@
   configure(level::info, "test");
   testing::internal::CaptureStderr();
   std::vector<std::jthread> writers;
+  writers.reserve(4);
   for (int thread = 0; thread < 4; ++thread) {
     writers.emplace_back([] {
       for (int i = 0; i < 200; ++i) {
--- a/packages/metrics/include/medlarloft/metrics.hpp
+++ b/packages/metrics/include/medlarloft/metrics.hpp
@@ -35,7 +35,7 @@
   control_bytes_sent,
   configuration_reads,
   view_refusals,
-  count_  // number of counters, not one itself
+  counters_end  // number of counters, not one itself
 };
 
 std::string_view name_of(counter which) noexcept;
@@ -59,7 +59,7 @@
 
 /// Merged figures of all threads of one process.
 struct summary {
-  std::array<std::uint64_t, static_cast<std::size_t>(counter::count_)>
+  std::array<std::uint64_t, static_cast<std::size_t>(counter::counters_end)>
       counters{};
   std::map<latency_key, latency_summary> latencies;
   /// Share of the key range answered, by tenths; the last is exactly whole.
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -12,7 +12,8 @@
 
 namespace bh = boost::histogram;
 
-constexpr std::size_t counter_count = static_cast<std::size_t>(counter::count_);
+constexpr std::size_t counter_count =
+    static_cast<std::size_t>(counter::counters_end);
 constexpr std::array<std::string_view, counter_count> counter_names{
     "queries",
     "answers_whole",
--- a/packages/net/include/medlarloft/net.hpp
+++ b/packages/net/include/medlarloft/net.hpp
@@ -43,8 +43,8 @@
 /// Limits of one HTTP server.
 struct server_options {
   endpoint listen;
-  std::size_t max_header_bytes = 8 * 1024;
-  std::size_t max_body_bytes = 256 * 1024;
+  std::size_t max_header_bytes = std::size_t{8} << 10;
+  std::size_t max_body_bytes = std::size_t{256} << 10;
   /// From the first byte of a request to its last.
   duration request_timeout = std::chrono::seconds(5);
   /// Between requests on one connection.
@@ -65,8 +65,8 @@
 class http_server {
  public:
   /// Connections are accepted on the first loop and served on all in turn.
-  http_server(std::vector<io_context*> loops, server_options options,
-              http_handler handler);
+  http_server(std::vector<io_context*> loops, const server_options& options,
+              const http_handler& handler);
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
--- a/packages/notes/include/medlarloft/notes.hpp
+++ b/packages/notes/include/medlarloft/notes.hpp
@@ -243,6 +243,12 @@
 struct offer_outcome {
   verdict result{};
   std::optional<note_error> error;
+  /// When accepted: the model of each version on the way, oldest first. What
+  /// daemons owe each other depends on the versions between, too.
+  std::vector<model_ptr> steps;
+  /// Whether `steps` follows on the model before without a gap; a whole note
+  /// skips the versions between.
+  bool gapless = false;
 };
 
 /// Holds the model in force. Versions only rise, whatever the sources say;
--- a/packages/notes/src/store.cpp
+++ b/packages/notes/src/store.cpp
@@ -38,26 +38,31 @@
 
 offer_outcome note_store::offer_chain(const std::vector<release_note>& chain,
                                       std::optional<std::uint64_t> digest) {
-  if (chain.empty()) return {verdict::known, std::nullopt};
+  if (chain.empty()) return {verdict::known};
   const note_version offered = chain.back().version;
-  if (offered < version()) return {verdict::older, std::nullopt};
+  if (offered < version()) return {verdict::older};
   if (offered == version() && digest) {
-    if (*digest == this->digest()) return {verdict::known, std::nullopt};
+    if (*digest == this->digest()) return {verdict::known};
     return {verdict::conflict, conflict_at(offered)};
   }
   model_ptr folded = model_;
   std::vector<const release_note*> applied;
+  offer_outcome outcome{.result = verdict::accepted, .gapless = true};
   for (const release_note& note : chain) {
     const bool behind = note.version <= folded->version && note.base != 0;
     if (behind && note.version < offered) continue;
     if (behind && offered == version()) {
       // The same version again, as an increment: the digest would tell a
       // difference, and without one the first content stays.
-      return {verdict::known, std::nullopt};
+      return {verdict::known};
     }
     auto next = fold(*folded, note);
     if (!next) return refused(next.error());
+    const bool skips =
+        note.base == 0 && folded->version != 0 && note.version != 1;
+    if (skips) outcome.gapless = false;
     folded = std::move(next).value();
+    outcome.steps.push_back(folded);
     applied.push_back(&note);
   }
   if (digest && folded->digest != *digest) {
@@ -68,7 +73,7 @@
   }
   if (folded->version == version()) {
     if (folded->digest == this->digest()) {
-      return {verdict::known, std::nullopt};
+      return {verdict::known};
     }
     return {verdict::conflict, conflict_at(offered)};
   }
@@ -76,7 +81,7 @@
   whole_.reset();
   for (const release_note* note : applied)
     remember(*note);
-  return {verdict::accepted, std::nullopt};
+  return outcome;
 }
 
 void note_store::remember(const release_note& note) {
--- a/packages/notes/tests/store_test.cpp
+++ b/packages/notes/tests/store_test.cpp
@@ -64,6 +64,20 @@
   }
 }
 
+TEST(store, tells_every_version_on_the_way_or_that_some_are_skipped) {
+  note_store store;
+  store.offer(note_of(sample_document()));
+  const auto chained =
+      store.offer_chain({increment(1, 70), increment(2, 80)}, std::nullopt);
+  EXPECT_EQ(chained.steps.size(), 2U);
+  EXPECT_TRUE(chained.gapless);
+  nlohmann::json whole = sample_document();
+  whole["version"] = 9;
+  const auto skipping = store.offer(note_of(whole));
+  EXPECT_EQ(skipping.result, verdict::accepted);
+  EXPECT_FALSE(skipping.gapless);
+}
+
 // Whatever a store is offered, in whatever order, with repetitions, stale
 // heads and whole notes between: the version never falls, and the content is
 // that of the naive model, which folds all notes up to the highest version
--- a/packages/peers/include/medlarloft/peers.hpp
+++ b/packages/peers/include/medlarloft/peers.hpp
@@ -143,7 +143,7 @@
     std::string from_ip;
     duration connect_timeout = std::chrono::milliseconds(500);
   };
-  traffic_client(event_loop& loop, options settings, stamping clock);
+  traffic_client(event_loop& loop, const options& settings, stamping clock);
   ~traffic_client();
   traffic_client(const traffic_client&) = delete;
   traffic_client& operator=(const traffic_client&) = delete;
--- a/packages/peers/src/clients.cpp
+++ b/packages/peers/src/clients.cpp
@@ -21,7 +21,7 @@
 }  // namespace
 
 struct traffic_client::state {
-  state(event_loop& loop, options settings, stamping stamps)
+  state(event_loop& loop, const options& settings, stamping stamps)
       : clock(std::move(stamps)),
         link(std::make_shared<traffic_link>(loop.context(), settings.to,
                                             settings.from_ip,
@@ -31,10 +31,9 @@
   std::shared_ptr<traffic_link> link;
 };
 
-traffic_client::traffic_client(event_loop& loop, options settings,
+traffic_client::traffic_client(event_loop& loop, const options& settings,
                                stamping clock)
-    : state_(std::make_shared<state>(loop, std::move(settings),
-                                     std::move(clock))) {}
+    : state_(std::make_shared<state>(loop, settings, std::move(clock))) {}
 
 traffic_client::~traffic_client() {
   state_->link->close();
--- a/packages/peers/src/connection.hpp
+++ b/packages/peers/src/connection.hpp
@@ -21,8 +21,9 @@
 using call_failed = std::function<void(peer_error)>;
 
 template <class Interface>
-class connection : public std::enable_shared_from_this<connection<Interface>>,
-                   private kj::TaskSet::ErrorHandler {
+class connection final
+    : public std::enable_shared_from_this<connection<Interface>>,
+      private kj::TaskSet::ErrorHandler {
  public:
   using client = typename Interface::Client;
   /// Makes the call and returns the promise of its handled answer.
@@ -39,7 +40,7 @@
   void start(call make, duration silence, call_failed failed) {
     last_used_ = steady_clock::now();
     if (link_) {
-      issue(std::move(make), silence, std::move(failed));
+      issue(make, silence, std::move(failed));
       return;
     }
     waiting_.push_back({std::move(make), silence, std::move(failed)});
@@ -110,7 +111,7 @@
     link_ = std::make_shared<link>(make_stream(std::move(socket)));
     watch(link_);
     for (queued& one : calls) {
-      issue(std::move(one.make), one.silence, std::move(one.failed));
+      issue(one.make, one.silence, std::move(one.failed));
     }
   }
 
@@ -124,13 +125,13 @@
     }));
   }
 
-  void issue(call make, duration silence, call_failed failed) {
+  void issue(const call& make, duration silence, const call_failed& failed) {
     if (!link_) {
       failed({peer_errc::not_connected, "connection closed before the call"});
       return;
     }
     auto state = std::make_shared<running>(context_);
-    state->failed = std::move(failed);
+    state->failed = failed;
     ++open_calls_;
     const auto self = this->shared_from_this();
     const std::weak_ptr<link> used = link_;
--- a/packages/placement/include/medlarloft/placement.hpp
+++ b/packages/placement/include/medlarloft/placement.hpp
@@ -98,10 +98,12 @@
  public:
   explicit share_ledger(duration hold_off) : hold_off_(hold_off) {}
 
-  /// Takes the shares that the newest view grants, sorted by leaf.
-  void grant(time_point now, std::vector<leaf_share> granted);
+  /// Takes the shares that a version grants, sorted by leaf. Every version
+  /// must be granted in order: one between may have passed a share on.
+  void grant(time_point now, const std::vector<leaf_share>& granted);
 
-  /// Forgets all use, as after a sleep: everything is a gain again.
+  /// Forgets all use, as after a sleep or when versions between are not
+  /// known: everything is a gain again.
   void reset() { entries_.clear(); }
 
   /// Returns the shares that may be used now, sorted by leaf.
@@ -118,7 +120,8 @@
     time_point gain_at;
   };
 
-  entry merge(time_point now, const entry* known, leaf_share granted) const;
+  entry merge(time_point now, const entry* known,
+              const leaf_share& granted) const;
 
   duration hold_off_;
   std::vector<entry> entries_;
@@ -163,6 +166,9 @@
   /// may run after the hold-off, when every other has given it up.
   void add(wall_time at, duration hold_off, notes::model_ptr model);
 
+  /// Forgets the fleets before, as when versions between are not known.
+  void reset() { eras_.clear(); }
+
   /// Returns since when `self` alone may run the id, or nothing when it is
   /// not the owner now.
   std::optional<wall_time> owner_since(std::string_view self,
--- a/packages/placement/src/homes.cpp
+++ b/packages/placement/src/homes.cpp
@@ -60,8 +60,7 @@
 // Ranks candidates for groups and remembers the result of each group.
 class ranker {
  public:
-  explicit ranker(const fleet_model& model)
-      : model_(model), centres_(split_by_centre(model)) {
+  explicit ranker(const fleet_model& model) : centres_(split_by_centre(model)) {
     everyone_.resize(model.daemons.size());
     std::iota(everyone_.begin(), everyone_.end(), daemon_index{0});
     hashes_.reserve(model.daemons.size());
@@ -110,7 +109,6 @@
     return homes;
   }
 
-  const fleet_model& model_;
   daemons_by_centre centres_;
   std::vector<daemon_index> everyone_;
   std::vector<std::uint64_t> hashes_;
--- a/packages/placement/src/shares.cpp
+++ b/packages/placement/src/shares.cpp
@@ -43,7 +43,7 @@
 }
 
 share_ledger::entry share_ledger::merge(time_point now, const entry* known,
-                                        leaf_share granted) const {
+                                        const leaf_share& granted) const {
   entry merged{granted.leaf, {}, granted.share, now + hold_off_};
   if (known == nullptr) return merged;
   const bool matured = now >= known->gain_at;
@@ -56,14 +56,15 @@
   return merged;
 }
 
-void share_ledger::grant(time_point now, std::vector<leaf_share> granted) {
+void share_ledger::grant(time_point now,
+                         const std::vector<leaf_share>& granted) {
   std::vector<entry> merged;
   merged.reserve(granted.size());
-  for (leaf_share& one : granted) {
+  for (const leaf_share& one : granted) {
     const auto known =
         std::ranges::lower_bound(entries_, one.leaf, {}, &entry::leaf);
     const bool found = known != entries_.end() && known->leaf == one.leaf;
-    merged.push_back(merge(now, found ? &*known : nullptr, std::move(one)));
+    merged.push_back(merge(now, found ? &*known : nullptr, one));
   }
   entries_ = std::move(merged);
 }
--- a/packages/server/src/context.cpp
+++ b/packages/server/src/context.cpp
@@ -27,9 +27,14 @@
   return ledger_.answer(id).value_or("");
 }
 
-void shared_ledger::fleet_changed(duration hold_off, notes::model_ptr model) {
+void shared_ledger::fleet_changed(duration hold_off,
+                                  const std::vector<notes::model_ptr>& steps,
+                                  bool gapless) {
   const std::lock_guard<std::mutex> guard(mutex_);
-  owners_.add(wall_now(), hold_off, std::move(model));
+  if (!gapless) owners_.reset();
+  for (const notes::model_ptr& model : steps) {
+    owners_.add(wall_now(), hold_off, model);
+  }
 }
 
 daemon_context::daemon_context(settings::daemon_settings values)
--- a/packages/server/src/context.hpp
+++ b/packages/server/src/context.hpp
@@ -33,7 +33,9 @@
   void ended(const std::string& id, admission::known_state how,
              std::string answer);
   std::string answer(const std::string& id);
-  void fleet_changed(duration hold_off, notes::model_ptr model);
+  /// Takes each fleet in order; `gapless` is false when some were skipped.
+  void fleet_changed(duration hold_off,
+                     const std::vector<notes::model_ptr>& steps, bool gapless);
 
  private:
   std::mutex mutex_;
--- a/packages/server/src/control.cpp
+++ b/packages/server/src/control.cpp
@@ -169,7 +169,7 @@
     outcome = store_.offer_chain(chain, digest);
   }
   if (outcome.result == notes::verdict::accepted) {
-    accepted(before, source, root, first_hand);
+    accepted(before, outcome, source, root, first_hand);
     return;
   }
   const bool loud = outcome.result == notes::verdict::conflict ||
@@ -180,7 +180,14 @@
   context_.event(timeline::event_kind::note_refused, source, reason);
 }
 
+void control::take_step(const notes::model_ptr& before,
+                        const notes::model_ptr& model) {
+  homes_ = std::make_shared<placement::home_table>(*model, *before, *homes_);
+  shares_.grant(steady_clock::now(), granted_shares(*model));
+}
+
 void control::accepted(const notes::model_ptr& before,
+                       const notes::offer_outcome& outcome,
                        const std::string& source, const std::string& root,
                        bool first_hand) {
   const time_point now = steady_clock::now();
@@ -188,11 +195,16 @@
   context_.event(timeline::event_kind::note_accepted,
                  std::to_string(model.version), "from " + source);
   note_centres(*before);
-  if (!same_daemons(*before, model)) {
+  if (!outcome.gapless) shares_.reset();
+  if (!outcome.gapless || !same_daemons(*before, model)) {
     context_.ledger.fleet_changed(context_.settings.control.hold_off,
-                                  store_.model());
+                                  outcome.steps, outcome.gapless);
+  }
+  notes::model_ptr last = before;
+  for (const notes::model_ptr& step : outcome.steps) {
+    take_step(last, step);
+    last = step;
   }
-  homes_ = std::make_shared<placement::home_table>(model, *before, *homes_);
   std::vector<membership::member_record> published;
   std::ranges::transform(model.daemons, std::back_inserter(published),
                          [](const notes::daemon_entry& daemon) {
@@ -315,23 +327,24 @@
   });
 }
 
-bool control::gone(notes::daemon_index daemon) const {
-  const std::string& id = store_.model()->daemons[daemon].id;
-  const auto since = group_.gone_since(id);
+bool control::gone(const std::string& daemon) const {
+  const auto since = group_.gone_since(daemon);
   if (!since) return false;
   const time_point from = std::max(*since, started_);
   return steady_clock::now() - from > context_.settings.control.takeover_after;
 }
 
-std::vector<placement::leaf_share> control::granted_shares() const {
-  const notes::fleet_model& model = *store_.model();
+std::vector<placement::leaf_share> control::granted_shares(
+    const notes::fleet_model& model) const {
   const auto self = model.index_of_daemon(context_.settings.id);
   if (!self) return {};
   std::vector<placement::leaf_share> granted;
   for (const notes::leaf_index leaf : homes_->leafs_of(*self)) {
-    const placement::share share = placement::share_of(
-        model.leafs[leaf], homes_->homes(leaf), *self,
-        [this](notes::daemon_index other) { return gone(other); });
+    const placement::share share =
+        placement::share_of(model.leafs[leaf], homes_->homes(leaf), *self,
+                            [this, &model](notes::daemon_index other) {
+                              return gone(model.daemons[other].id);
+                            });
     granted.push_back({model.leafs[leaf].id, share});
   }
   return granted;
@@ -388,7 +401,7 @@
          .leaving = known != nullptr && known->state == member_state::leaving});
   }
   if (stopping_ && fresh->self) fresh->status[*fresh->self].leaving = true;
-  shares_.grant(now, granted_shares());
+  shares_.grant(now, granted_shares(*store_.model()));
   fresh->shares = shares_.usable(now);
   fresh->leaving_hosts.assign(listed_leaving_.begin(), listed_leaving_.end());
   fresh->ready = ready_;
--- a/packages/server/src/control.hpp
+++ b/packages/server/src/control.hpp
@@ -59,8 +59,10 @@
   void offer(const std::vector<notes::release_note>& chain,
              std::uint64_t digest, const std::string& source,
              const std::string& root, bool first_hand);
-  void accepted(const notes::model_ptr& before, const std::string& source,
+  void accepted(const notes::model_ptr& before,
+                const notes::offer_outcome& outcome, const std::string& source,
                 const std::string& root, bool first_hand);
+  void take_step(const notes::model_ptr& before, const notes::model_ptr& model);
   void note_centres(const notes::fleet_model& before);
   void run_reader();
   void carry_out(const sources::reader_outputs& wanted);
@@ -69,9 +71,10 @@
   void renew_view();
   void publish();
   void send_words();
-  bool gone(notes::daemon_index daemon) const;
+  bool gone(const std::string& daemon) const;
   bool must_bootstrap() const;
-  std::vector<placement::leaf_share> granted_shares() const;
+  std::vector<placement::leaf_share> granted_shares(
+      const notes::fleet_model& model) const;
 
   daemon_context& context_;
   peers::event_loop& loop_;
--- a/packages/server/src/daemon.cpp
+++ b/packages/server/src/daemon.cpp
@@ -27,10 +27,11 @@
   explicit state(settings::daemon_settings settings);
 
   result<void, server_error> start();
-  void handle_caller(std::size_t index, net::http_request request,
+  void handle_caller(std::size_t index, const net::http_request& request,
                      net::respond answer);
   peers::traffic_hooks traffic_hooks(std::size_t index);
-  void collect_servers(std::function<void(std::vector<leaf_status>)> done);
+  void collect_servers(
+      const std::function<void(std::vector<leaf_status>)>& done);
   metrics::summary figures() const;
   void on_signal();
   void stop_listening();
@@ -96,7 +97,7 @@
 
 // Asks each traffic thread in turn, so that nothing is shared.
 void daemon::state::collect_servers(
-    std::function<void(std::vector<leaf_status>)> done) {
+    const std::function<void(std::vector<leaf_status>)>& done) {
   struct gathering {
     std::vector<leaf_status> all;
     std::size_t missing = 0;
@@ -125,7 +126,8 @@
           .max_connections = values.max_connections};
 }
 
-void daemon::state::handle_caller(std::size_t index, net::http_request request,
+void daemon::state::handle_caller(std::size_t index,
+                                  const net::http_request& request,
                                   net::respond answer) {
   entry& queries = workers[index]->queries();
   if (request.method == "POST" && request.target == "/v1/query") {
@@ -143,10 +145,9 @@
 peers::traffic_hooks daemon::state::traffic_hooks(std::size_t index) {
   worker& serving = *workers[index];
   return {
-      .run =
-          [&serving](peers::part work, auto reply) {
-            serving.parts().run(std::move(work), std::move(reply));
-          },
+      .run = [&serving](
+                 const peers::part& work,
+                 auto reply) { serving.parts().run(work, std::move(reply)); },
       .collect =
           [&serving](std::uint64_t part_id, auto reply) {
             serving.parts().collect(part_id, std::move(reply));
@@ -171,9 +172,9 @@
   }
   callers = std::make_unique<net::http_server>(
       contexts, caller_options(),
-      [this](std::size_t index, net::http_request request,
+      [this](std::size_t index, const net::http_request& request,
              net::respond answer) {
-        handle_caller(index, std::move(request), std::move(answer));
+        handle_caller(index, request, std::move(answer));
       });
   operator_server = std::make_unique<net::http_server>(
       std::vector<net::io_context*>{&control_loop.context()},
--- a/packages/server/src/query_run.cpp
+++ b/packages/server/src/query_run.cpp
@@ -148,18 +148,17 @@
       work.flush_after = std::chrono::duration_cast<duration>(
           *policy_.hedge_after * flush_share);
     }
-    send_part(relay, std::move(work));
+    send_part(relay, work);
   }
 }
 
-void query_run::send_part(notes::daemon_index relay, peers::part work) {
+void query_run::send_part(notes::daemon_index relay, const peers::part& work) {
   const std::uint64_t part_id = work.part_id;
   const auto self = shared_from_this();
   if (view_->self == relay) {
-    owner_.relay_.run(std::move(work),
-                      [self, relay, part_id](peers::part_answer answer) {
-                        self->part_answered(relay, part_id, std::move(answer));
-                      });
+    owner_.relay_.run(work, [self, relay, part_id](peers::part_answer answer) {
+      self->part_answered(relay, part_id, std::move(answer));
+    });
     return;
   }
   owner_.client(*view_, relay)
--- a/packages/server/src/query_run.hpp
+++ b/packages/server/src/query_run.hpp
@@ -33,7 +33,7 @@
   void carry_out(query::actions wanted);
   void cancel(const std::vector<query::cancel_action>& cancels);
   void send(const std::vector<query::send_action>& sends);
-  void send_part(notes::daemon_index relay, peers::part work);
+  void send_part(notes::daemon_index relay, const peers::part& work);
   void part_answered(notes::daemon_index relay, std::uint64_t part_id,
                      peers::peer_result<peers::part_answer> answer);
   void collect(notes::daemon_index relay, std::uint64_t part_id);
--- a/packages/server/src/relay.cpp
+++ b/packages/server/src/relay.cpp
@@ -93,7 +93,7 @@
   return all;
 }
 
-void relay::run(peers::part work, reply answer) {
+void relay::run(const peers::part& work, reply answer) {
   const time_point now = steady_clock::now();
   auto part = std::make_shared<open_part>(loop_);
   part->id = work.part_id;
--- a/packages/server/src/relay.hpp
+++ b/packages/server/src/relay.hpp
@@ -59,7 +59,7 @@
 
   /// Sends the tasks to their leafs. Replies once, when all have ended or the
   /// flush time has passed; `collect` then gives the rest.
-  void run(peers::part work, reply answer);
+  void run(const peers::part& work, reply answer);
   void collect(std::uint64_t part_id, reply answer);
   void cancel(std::uint64_t part_id,
               const std::vector<query::attempt_id>& attempts);
--- a/packages/settings/include/medlarloft/settings.hpp
+++ b/packages/settings/include/medlarloft/settings.hpp
@@ -34,8 +34,8 @@
 };
 
 struct caller_settings {
-  std::size_t max_header_bytes = 8 * 1024;
-  std::size_t max_body_bytes = 256 * 1024;
+  std::size_t max_header_bytes = std::size_t{8} << 10;
+  std::size_t max_body_bytes = std::size_t{256} << 10;
   std::size_t max_connections = 4096;
   duration request_timeout = std::chrono::seconds(5);
   duration idle_timeout = std::chrono::seconds(60);
--- a/packages/timeline/src/events.cpp
+++ b/packages/timeline/src/events.cpp
@@ -66,8 +66,9 @@
 std::vector<event> ring::events() const {
   const std::lock_guard<std::mutex> guard(mutex_);
   std::vector<event> ordered(events_);
-  std::ranges::rotate(ordered,
-                      ordered.begin() + static_cast<std::ptrdiff_t>(next_));
+  std::rotate(ordered.begin(),
+              ordered.begin() + static_cast<std::ptrdiff_t>(next_),
+              ordered.end());
   return ordered;
 }
 
