membership: what a join is answered with is not gossiped again

Cause: a daemon that joins queued every member it was told of for gossip; at 1,000 daemons the news that one leaves had not reached all after 120 s.

--- a/packages/membership/include/medlarloft/membership.hpp
+++ b/packages/membership/include/medlarloft/membership.hpp
@@ -229,9 +229,10 @@
   void fill_updates(message& body, const std::string& to);
   void take_updates(time_point now, outputs& out, const message& received);
   void merge(time_point now, outputs& out, const member_record& told,
-             const std::string& teller);
+             const std::string& teller, bool pass_on);
   void refute(const member_record& told);
-  void apply(time_point now, outputs& out, const member_record& told);
+  void apply(time_point now, outputs& out, const member_record& told,
+             bool pass_on = true);
   void enqueue(const std::string& id);
   void heard_directly(time_point now, outputs& out, const std::string& id);
   void compare_note(outputs& out, const message& received);
@@ -259,7 +260,8 @@
   random_stream random_;
   member_record self_;
   std::unordered_map<std::string, member> members_;
-  std::vector<std::string> probe_order_;
+  /// Keys of `members_`, which stay where they are until they are erased.
+  std::vector<const std::string*> probe_order_;
   std::size_t probe_next_ = 0;
   std::map<std::string, suspicion> suspicions_;
   std::vector<queued_update> queue_;
--- a/packages/membership/src/probing.cpp
+++ b/packages/membership/src/probing.cpp
@@ -88,13 +88,10 @@
   for (std::size_t tried = 0; tried < probe_order_.size() + 1; ++tried) {
     if (probe_next_ >= probe_order_.size()) {
       probe_next_ = 0;
-      std::erase_if(probe_order_, [this](const std::string& id) {
-        return !members_.contains(id);
-      });
       std::ranges::shuffle(probe_order_, random_);
       if (probe_order_.empty()) return std::nullopt;
     }
-    const std::string& id = probe_order_[probe_next_++];
+    const std::string& id = *probe_order_[probe_next_++];
     const member_record* record = find(id);
     if (record == nullptr || record->state == member_state::left) continue;
     return id;
--- a/packages/membership/src/table.cpp
+++ b/packages/membership/src/table.cpp
@@ -97,8 +97,8 @@
       member fresh{entry, time_point{}};
       fresh.record.state = member_state::unheard;
       fresh.record.incarnation = 0;
-      members_.emplace(entry.id, std::move(fresh));
-      probe_order_.push_back(entry.id);
+      const auto added = members_.emplace(entry.id, std::move(fresh)).first;
+      probe_order_.push_back(&added->first);
       continue;
     }
     if (known->second.record.state == member_state::unheard) {
@@ -148,8 +148,10 @@
 
 void group::take_updates(time_point now, outputs& out,
                          const message& received) {
+  // What a join is answered with is known to all but the one that joins.
+  const bool pass_on = received.kind != message_kind::members;
   for (const member_record& told : received.updates) {
-    merge(now, out, told, received.from);
+    merge(now, out, told, received.from, pass_on);
   }
 }
 
@@ -167,7 +169,7 @@
 }
 
 void group::merge(time_point now, outputs& out, const member_record& told,
-                  const std::string& teller) {
+                  const std::string& teller, bool pass_on) {
   if (told.id == self_.id) {
     refute(told);
     return;
@@ -192,16 +194,17 @@
   } else if (is_gone(told.state)) {
     return;  // nothing to learn about a stranger that is gone
   }
-  apply(now, out, told);
+  apply(now, out, told, pass_on);
 }
 
-void group::apply(time_point now, outputs& out, const member_record& told) {
+void group::apply(time_point now, outputs& out, const member_record& told,
+                  bool pass_on) {
   auto [known, fresh] = members_.try_emplace(told.id, member{told, now});
   if (fresh) {
     // A random place, so that new members are probed soon and evenly.
     const std::size_t at = random_.below(probe_order_.size() + 1);
     probe_order_.insert(probe_order_.begin() + static_cast<std::ptrdiff_t>(at),
-                        told.id);
+                        &known->first);
   }
   const member_state before =
       fresh ? member_state::unheard : known->second.record.state;
@@ -214,7 +217,7 @@
   } else {
     suspicions_.erase(told.id);
   }
-  enqueue(told.id);
+  if (pass_on) enqueue(told.id);
   if (before != told.state) out.events.push_back({told.id, told.state});
 }
 
@@ -231,12 +234,21 @@
 }
 
 void group::forget_old(time_point now) {
-  std::erase_if(members_, [&](const auto& entry) {
-    const member& known = entry.second;
+  const auto is_old = [&](const std::string& id) {
+    const member& known = members_.find(id)->second;
     const bool old = is_gone(known.record.state) &&
                      known.changed_at + options_.forget_after < now;
-    return old && !std::ranges::binary_search(published_, entry.first);
+    return old && !std::ranges::binary_search(published_, id);
+  };
+  std::vector<std::string> forgotten;
+  std::erase_if(probe_order_, [&](const std::string* id) {
+    const bool old = is_old(*id);
+    if (old) forgotten.push_back(*id);
+    return old;
   });
+  for (const std::string& id : forgotten) {
+    members_.erase(id);
+  }
 }
 
 }  // namespace medlarloft::membership
--- a/packages/membership/tests/harness.hpp
+++ b/packages/membership/tests/harness.hpp
@@ -17,6 +17,11 @@
 
 namespace medlarloft::membership {
 
+/// Returns the id of the n-th node.
+inline std::string numbered_id(std::size_t number) {
+  return "d" + std::to_string(number);
+}
+
 struct member_node {
   std::unique_ptr<group> members;
   notes::release_note held;  // the newest note, its text standing for all
@@ -36,7 +41,7 @@
     for (std::size_t i = 0; i < size; ++i) {
       const auto port = static_cast<std::uint16_t>(i % 60000 + 1);
       records_.push_back(
-          {.id = "d" + std::to_string(i),
+          {.id = numbered_id(i),
            .data_centre = "c" + std::to_string(i / per_centre),
            .control = {"10.0." + std::to_string(i / 60000) + ".1", port},
            .incarnation = 1,
@@ -56,6 +61,7 @@
         .seeds = {records_[0].control, records_[records_.size() / 2].control},
         .random_seed = hash64(id, incarnation)};
     options.self.incarnation = incarnation;
+    options.tree_fanout = tree_fanout_;
     fresh.members =
         std::make_unique<group>(options, [&fresh](notes::note_version from) {
           std::vector<notes::release_note> held;
@@ -115,6 +121,9 @@
   std::uint64_t messages() const noexcept { return messages_; }
   const std::vector<member_event>& events() const noexcept { return events_; }
   void clear_events() { events_.clear(); }
+  /// Children in the spreading tree of nodes started later; 0 for no tree and
+  /// no telling of other data centres.
+  void set_tree_fanout(std::size_t fanout) { tree_fanout_ = fanout; }
   void set_link(link_up rule) { link_up_ = std::move(rule); }
   /// Called with each message sent; for counting bytes.
   std::function<void(const message&)> on_send;
@@ -176,6 +185,7 @@
   }
 
   duration delay_;
+  std::size_t tree_fanout_ = 4;
   time_point now_{std::chrono::seconds(100)};
   std::vector<member_record> records_;
   std::map<endpoint, std::string> ids_;
--- a/packages/peers/include/medlarloft/peers.hpp
+++ b/packages/peers/include/medlarloft/peers.hpp
@@ -228,6 +228,8 @@
 
 /// Encodes and decodes one control message, for measurements and fuzzing.
 std::string encode(const membership::message& message);
+/// Returns the bytes of one encoded part, for measurements.
+std::size_t encoded_size(const part& work);
 enum class wire_errc { malformed };
 using wire_error = basic_error<wire_errc>;
 result<membership::message, wire_error> decode(std::string_view bytes);
--- a/packages/peers/src/wire_codec.cpp
+++ b/packages/peers/src/wire_codec.cpp
@@ -240,6 +240,12 @@
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
 
+std::size_t encoded_size(const part& work) {
+  capnp::MallocMessageBuilder builder;
+  detail::write(work, builder.initRoot<wire::Part>());
+  return capnp::messageToFlatArray(builder).asBytes().size();
+}
+
 result<membership::message, wire_error> decode(std::string_view bytes) {
   // Words must be aligned, which the text need not be.
   auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
