--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,120 @@
+# Shared by demo, experiment and the process tests: starts a deployment of
+# stand-ins and daemons as separate processes and steers it. Source it, then
+# call `deploy NAME`.
+
+bin=${BUILD:-build}/bin
+work=$(mktemp -d)
+declare -A pids
+
+finish() {
+  local pid
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  # A paused daemon must wake to hear the signal.
+  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
+  sleep 0.1
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$work"
+}
+trap finish EXIT
+
+# Sets the variables of a deployment: attiki or cairo.
+choose() {
+  name=$1
+  case "$name" in
+    attiki) net=41
+      mix=lease-desk=3,lease-desk:critical=1,landlord-portal=3,contract-vault=2,carrier-billing!=1 ;;
+    cairo) net=42
+      mix=dispatch-desk=4,call-centre=3,clinic-portal=2,ledger-sync!=1 ;;
+    *) echo "\"$name\" is neither attiki nor cairo" >&2; exit 2 ;;
+  esac
+  steer=127.$net.0.1:6002
+  start=127.$net.1.1:7000,127.$net.2.1:7000,127.$net.3.1:7000
+  local place list=()
+  for place in 1.1 1.2 1.3 2.1 2.2 2.3 3.1 3.2; do
+    list+=("127.$net.$place:7003")
+  done
+  all=$(IFS=,; echo "${list[*]}")
+}
+
+# Publishes notes: the whole chain, the newest last.
+publish() {
+  "$bin/medlarloft" note render --out "$work/values" "$@" > /dev/null
+}
+
+start_standins() {
+  "$bin/medlarloft_standins" --folder "$work/values" \
+    --note "examples/$name/note-1.json" --configuration "127.$net.0.1:6000" \
+    --hosts "127.$net.0.1:6001" --steer "$steer" "$@" \
+    2>> "$work/standins.log" &
+  pids[standins]=$!
+}
+
+# Starts one daemon; `query_settings` replaces its query section if set.
+start_daemon() {
+  local settings="examples/$name/$1.json"
+  if [ -n "${query_settings:-}" ]; then
+    sed "s/\"traffic_threads\"/\"query\": {$query_settings}, &/" \
+      "$settings" > "$work/$1.json"
+    settings="$work/$1.json"
+  fi
+  "$bin/medlarloftd" --settings "$settings" 2>> "$work/$1.log" &
+  pids[$1]=$!
+}
+
+# Starts everything and waits until it serves.
+deploy() {
+  choose "$1"
+  publish "examples/$name/note-1.json"
+  start_standins "${@:2}"
+  local n
+  for n in 1 2 3 4 5 6 7 8; do start_daemon "$name-e$n"; done
+  await "ready=true" 8
+  # Shares are used after the hold-off.
+  sleep 1.2
+}
+
+stop_all() {
+  local pid
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  pids=()
+  rm -rf "$work/values"
+}
+
+# Waits until at least as many daemons as wanted say what is asked for.
+await() {
+  local what=$1 wanted=$2 deadline=$((SECONDS + 20)) seen
+  while [ "$SECONDS" -lt "$deadline" ]; do
+    seen=$("$bin/medlarloft" --daemons "$all" note status 2>/dev/null |
+      grep -c "$what" || true)
+    [ "$seen" -ge "$wanted" ] && return 0
+    sleep 0.05
+  done
+  echo "not every daemon came to $what" >&2
+  return 1
+}
+
+# load LENGTH NAME [flags]: callers in the first data centre.
+load() {
+  "$bin/medlarloft_load" --start "$start" --data_centre "$name-1" \
+    --rate "${rate:-200}" --length "$1" --mix "$mix" --name "$2" \
+    --record "$steer" "${@:3}"
+}
+
+steering() { curl -s -o /dev/null "http://$steer/$1"; }
+
+started_in() {
+  "$bin/medlarloft_load" --started_in "$1" --record "$steer"
+}
+
+# Sums a counter over all daemons.
+counter() {
+  "$bin/medlarloft" --daemons "$all" stats 2>/dev/null |
+    awk -v name="medlarloft_$1_total" 'index($1, name "{") == 1 {sum += $2}
+                                       END {printf "%d", sum}'
+}
+
+events() { "$bin/medlarloft" --daemons "$all" timeline 2>/dev/null; }
+
+milliseconds() { echo $(($(date +%s%N) / 1000000)); }
