query: a refused or lost hedge is sent again elsewhere

Far replicas get no traffic, so they stay cold, and the relay of second rank refuses; while the first attempt was open, nothing was tried after that. Change: a hedge that the relay refused goes to the next way at once; after a lost one the attempt that is left may be hedged again.

--- a/bench/capacity_control.cpp
+++ b/bench/capacity_control.cpp
@@ -125,6 +125,36 @@
 
 }  // namespace
 
+namespace {
+
+// The last data centre dies; until a sample of the others counts all of its
+// daemons as failed.
+double lose_centre(membership::network& net, std::size_t daemons,
+                   std::size_t per_centre) {
+  const std::size_t first = (daemons - 1) / per_centre * per_centre;
+  for (std::size_t d = first; d < daemons; ++d) {
+    net.node(membership::numbered_id(d)).up = false;
+  }
+  const time_point died = net.now();
+  const std::size_t step = std::max<std::size_t>(1, first / 20);
+  const auto all_know = [&] {
+    for (std::size_t observer = 0; observer < first; observer += step) {
+      for (std::size_t d = first; d < daemons; ++d) {
+        if (net.state_at(membership::numbered_id(observer),
+                         membership::numbered_id(d)) !=
+            membership::member_state::failed) {
+          return false;
+        }
+      }
+    }
+    return true;
+  };
+  while (!all_know() && net.now() - died < 600s) net.run_for(500ms);
+  return std::chrono::duration<double, std::milli>(net.now() - died).count();
+}
+
+}  // namespace
+
 // One daemon's view of the full fleet: memory, and the time of one second of
 // probes and answers.
 void measure_view(std::vector<slope>& slopes) {
@@ -219,6 +249,24 @@
     add(slopes, "failure_known_ms", "ms", size,
         std::chrono::duration<double, std::milli>(net.now() - died).count());
   }
+  for (const std::size_t daemons : daemon_sizes()) {
+    constexpr std::size_t most_for_loss = 1000;
+    if (daemons > std::min(options.most_daemons, most_for_loss)) continue;
+    const auto size = static_cast<double>(daemons);
+    const std::size_t per_centre =
+        std::max<std::size_t>(3, daemons / full_centres + 1);
+    membership::network net(daemons, per_centre, link_delay);
+    net.start_all();
+    net.run_for(2s);
+    std::uint64_t bytes = 0;
+    net.on_send = [&bytes](const membership::message& sent) {
+      bytes += peers::encode(sent).size();
+    };
+    const double took = lose_centre(net, daemons, per_centre);
+    add(slopes, "centre_lost_known_ms", "ms", size, took);
+    add(slopes, "centre_lost_bytes", "bytes per daemon and second", size,
+        static_cast<double>(bytes) / size / (took / 1000.0));
+  }
   // Baselines: anti-entropy alone, and heartbeats from each to each.
   for (const std::size_t daemons : daemon_sizes()) {
     constexpr std::size_t most_for_baseline = 1000;
--- a/packages/query/src/execution.cpp
+++ b/packages/query/src/execution.cpp
@@ -166,7 +166,12 @@
     std::erase(state.tried.leafs, used.leaf);
     state.tried.refused.push_back(used);
     last_reason_ = "relays refuse";
-    retry_or_settle(now, index, /*costs=*/false);
+    if (state.open.empty()) {
+      retry_or_settle(now, index, /*costs=*/false);
+    } else if (state.tried.refused.size() < policy_.max_refusals_per_shard) {
+      // A hedge that was refused is still wanted, and already paid for.
+      send(now, index, attempt_kind::hedge);
+    }
     check_done(now);
     return take(now);
   }
@@ -177,6 +182,11 @@
   }
   if (how.how == failure::not_run) last_reason_ = "backend servers refuse";
   if (how.how == failure::snapshot_gone) note_gone(how);
+  // The attempt that is left has been slow for long enough already.
+  if (!state.open.empty() && policy_.hedge_after) {
+    state.open.front().hedge_at =
+        std::max(now, state.open.front().sent_at + *policy_.hedge_after);
+  }
   retry_or_settle(now, index);
   check_done(now);
   return take(now);
