membership: more news in each message while there are many

Cause: when a data centre is lost, 8 updates a message carry 508 failures slowly. Change: up to 48 updates a message; a message without news stays as small.

--- a/packages/membership/include/medlarloft/membership.hpp
+++ b/packages/membership/include/medlarloft/membership.hpp
@@ -133,7 +133,7 @@
   /// Daemons that must agree for the shortest suspicion.
   std::uint32_t suspicion_agreement = 3;
   std::uint32_t max_local_health = 8;
-  std::size_t updates_per_message = 8;
+  std::size_t updates_per_message = 48;
   /// Each update is sent this many times log2(members).
   double retransmit_factor = 3;
   /// Children of a node in the spreading tree of a data centre.
