placement: addresses by data centre, not by a walk over the fleet

Cause: an answer to a caller that asks for addresses took 1.7 ms at 6,600 daemons (bench/capacity addresses_ns), since it ranked every daemon. Change: an address book by data centre, built with each note; a differential test compares it with the walk.

--- a/bench/capacity_control.cpp
+++ b/bench/capacity_control.cpp
@@ -43,8 +43,7 @@
   for (const std::size_t leafs : leaf_sizes()) {
     const auto size = static_cast<double>(leafs);
     const std::size_t daemons = leafs * full_daemons / leaf_sizes().back();
-    const notes::release_note note =
-        sample_note(leafs, daemons, full_centres);
+    const notes::release_note note = sample_note(leafs, daemons, full_centres);
     const std::size_t before = allocated_bytes();
     const notes::model_ptr model =
         notes::fold(notes::fleet_model{}, note).value();
@@ -52,8 +51,7 @@
         static_cast<double>(allocated_bytes() - before));
     add(slopes, "whole_note_bytes", "bytes per leaf", size,
         static_cast<double>(note.text.size()));
-    add(slopes, "fold_whole_ns", "ns per leaf", size,
-        shortest_run(3, [&note] {
+    add(slopes, "fold_whole_ns", "ns per leaf", size, shortest_run(3, [&note] {
           (void)notes::fold(notes::fleet_model{}, note);
         }));
     const notes::release_note change = small_change(*model);
@@ -79,17 +77,17 @@
     const placement::home_table table(*model);
     const notes::model_ptr changed =
         notes::fold(*model, small_change(*model)).value();
-    add(slopes, "homes_change_ns", "ns per leaf", size,
-        shortest_run(3, [&] {
+    add(slopes, "homes_change_ns", "ns per leaf", size, shortest_run(3, [&] {
           placement::home_table again(*changed, *model, table);
         }));
     add(slopes, "own_leafs_ns", "ns per leaf", size,
         shortest_run(5, [&] { (void)table.leafs_of(0); }));
     const std::vector<placement::daemon_status> status(model->daemons.size());
-    add(slopes, "addresses_ns", "ns per daemon",
-        static_cast<double>(daemons), shortest_run(5, [&] {
-          (void)placement::addresses_for(
-              *model, status, {.data_centre = "c1", .caller = "caller"});
+    const placement::address_book book(*model);
+    add(slopes, "addresses_ns", "ns per daemon", static_cast<double>(daemons),
+        shortest_run(5, [&] {
+          (void)book.addresses_for(status,
+                                   {.data_centre = "c1", .caller = "caller"});
         }));
     std::size_t most = 0;
     std::vector<std::size_t> held(model->daemons.size());
@@ -149,7 +147,8 @@
     }
     return true;
   };
-  while (!all_know() && net.now() - died < 600s) net.run_for(500ms);
+  while (!all_know() && net.now() - died < 600s)
+    net.run_for(500ms);
   return std::chrono::duration<double, std::milli>(net.now() - died).count();
 }
 
@@ -158,8 +157,8 @@
 // One daemon's view of the full fleet: memory, and the time of one second of
 // probes and answers.
 void measure_view(std::vector<slope>& slopes) {
-  for (const std::size_t members : {std::size_t{100}, std::size_t{1000},
-                                    std::size_t{3000}, full_daemons}) {
+  for (const std::size_t members :
+       {std::size_t{100}, std::size_t{1000}, std::size_t{3000}, full_daemons}) {
     const auto size = static_cast<double>(members);
     membership::network names(members, members / full_centres + 1, link_delay);
     const std::size_t before = allocated_bytes();
@@ -203,8 +202,7 @@
         std::chrono::duration<double, std::nano>(steady_clock::now() - began)
             .count();
     add(slopes, "steady_messages", "messages per daemon and second", size,
-        static_cast<double>(net.messages() - messages) / size /
-            steady_seconds);
+        static_cast<double>(net.messages() - messages) / size / steady_seconds);
     add(slopes, "steady_bytes", "bytes per daemon and second", size,
         static_cast<double>(bytes) / size / steady_seconds);
     add(slopes, "steady_ns", "ns per daemon and second", size,
@@ -227,17 +225,17 @@
       }
       return true;
     };
-    while (!all_know() && net.now() - leaving < 120s) net.run_for(100ms);
+    while (!all_know() && net.now() - leaving < 120s)
+      net.run_for(100ms);
     add(slopes, "leave_to_all_ms", "ms", size,
-        std::chrono::duration<double, std::milli>(net.now() - leaving)
-            .count());
+        std::chrono::duration<double, std::milli>(net.now() - leaving).count());
     // A daemon dies: until half of the others count it as failed.
     net.node("d3").up = false;
     const time_point died = net.now();
     const auto knowing = [&] {
       std::size_t count = 0;
-      for (std::size_t d = 0; d < daemons; d += std::max<std::size_t>(
-                                                   1, daemons / 100)) {
+      for (std::size_t d = 0; d < daemons;
+           d += std::max<std::size_t>(1, daemons / 100)) {
         if (net.state_at(membership::numbered_id(d), "d3") ==
             membership::member_state::failed) {
           ++count;
@@ -245,7 +243,8 @@
       }
       return count;
     };
-    while (knowing() < 3 && net.now() - died < 120s) net.run_for(200ms);
+    while (knowing() < 3 && net.now() - died < 120s)
+      net.run_for(200ms);
     add(slopes, "failure_known_ms", "ms", size,
         std::chrono::duration<double, std::milli>(net.now() - died).count());
   }
--- a/bench/capacity_main.cpp
+++ b/bench/capacity_main.cpp
@@ -42,8 +42,8 @@
   const double largest = measured.values.back();
   for (std::size_t i = 0; i < measured.sizes.size(); ++i) {
     const double expected = line.constant + line.per_unit * measured.sizes[i];
-    line.spread = std::max(
-        line.spread, std::abs(measured.values[i] - expected) / largest);
+    line.spread = std::max(line.spread,
+                           std::abs(measured.values[i] - expected) / largest);
   }
   return line;
 }
@@ -53,14 +53,16 @@
   for (int i = 0; i < runs; ++i) {
     const time_point began = steady_clock::now();
     work();
-    const auto took = std::chrono::duration<double, std::nano>(
-        steady_clock::now() - began);
+    const auto took =
+        std::chrono::duration<double, std::nano>(steady_clock::now() - began);
     best = std::min(best, took.count());
   }
   return best;
 }
 
-std::size_t allocated_bytes() { return mallinfo2().uordblks; }
+std::size_t allocated_bytes() {
+  return mallinfo2().uordblks;
+}
 
 }  // namespace medlarloft::bench
 
@@ -73,10 +75,9 @@
   measure_placement(slopes);
   measure_queries(slopes);
   measure_codecs(slopes);
-  measure_membership(
-      {.most_daemons = absl::GetFlag(FLAGS_most_daemons),
-       .seed = absl::GetFlag(FLAGS_seed)},
-      slopes);
+  measure_membership({.most_daemons = absl::GetFlag(FLAGS_most_daemons),
+                      .seed = absl::GetFlag(FLAGS_seed)},
+                     slopes);
   nlohmann::json all = nlohmann::json::array();
   for (const slope& one : slopes) {
     const fit line = fit_line(one);
--- a/bench/capacity_traffic.cpp
+++ b/bench/capacity_traffic.cpp
@@ -31,8 +31,7 @@
                        .service = &service,
                        .deadline = time_point(1s),
                        .snapshot = 7};
-  query::execution run(asked, {.hedge_after = 20ms},
-                       query::plain_hooks(next));
+  query::execution run(asked, {.hedge_after = 20ms}, query::plain_hooks(next));
   const query::actions begun = run.start(time_point(0s));
   for (const query::send_action& one : begun.sends) {
     run.on_answer(time_point(5ms), one.attempt,
@@ -41,7 +40,9 @@
 }
 
 peers::part sample_part(std::size_t tasks) {
-  peers::part work{.part_id = 1, .request_id = "request", .service = "desk",
+  peers::part work{.part_id = 1,
+                   .request_id = "request",
+                   .service = "desk",
                    .body = "find mast 7"};
   for (std::size_t i = 0; i < tasks; ++i) {
     work.tasks.push_back({.attempt = i,
--- a/packages/placement/include/medlarloft/placement.hpp
+++ b/packages/placement/include/medlarloft/placement.hpp
@@ -142,12 +142,38 @@
   std::size_t count = 3;
 };
 
-/// Returns daemons for a caller, best first: those of its data centre, then
-/// its region, then the rest; none that leaves, is gone, or whose data centre
-/// is out. A change of one daemon moves only the callers that had it.
-std::vector<daemon_index> addresses_for(
-    const notes::fleet_model& model, const std::vector<daemon_status>& status,
-    const address_request& request);
+/// The published daemons by data centre, to answer callers without walking the
+/// whole fleet.
+class address_book {
+ public:
+  address_book() = default;
+  explicit address_book(const notes::fleet_model& model);
+
+  /// Returns daemons for a caller, best first: those of its data centre, then
+  /// its region, then the rest; none that leaves, is gone, or whose data
+  /// centre is out. A caller whose data centre is not known is given one by
+  /// hash. A change of one daemon moves only the callers that had it.
+  std::vector<daemon_index> addresses_for(
+      const std::vector<daemon_status>& status,
+      const address_request& request) const;
+
+ private:
+  struct listed {
+    daemon_index daemon = 0;
+    std::uint64_t hash = 0;
+  };
+  struct centre {
+    std::string id;
+    std::string region;
+    bool out = false;
+    std::vector<listed> daemons;
+  };
+
+  std::vector<std::size_t> centres_by_distance(
+      const address_request& request) const;
+
+  std::vector<centre> centres_;
+};
 
 /// Returns the daemon that alone runs a non-idempotent request, or nothing for
 /// an empty fleet. It depends on the published fleet only, never on who seems
--- a/packages/placement/src/addresses.cpp
+++ b/packages/placement/src/addresses.cpp
@@ -6,46 +6,80 @@
 namespace medlarloft::placement {
 namespace {
 
-// Lower is nearer.
-int distance(const notes::fleet_model& model, const std::string& from,
-             const std::string& to) {
-  if (from == to) return 0;
-  const notes::data_centre* here = model.find_data_centre(from);
-  const notes::data_centre* there = model.find_data_centre(to);
-  const bool same_region =
-      here != nullptr && there != nullptr && here->region == there->region;
-  return same_region ? 1 : 2;
-}
-
-struct candidate {
+struct scored_centre {
   int distance;
+  std::uint64_t score;
+  std::size_t position;
+};
+
+struct scored_daemon {
   std::uint64_t score;
   daemon_index daemon;
 };
 
 }  // namespace
 
-std::vector<daemon_index> addresses_for(
-    const notes::fleet_model& model, const std::vector<daemon_status>& status,
-    const address_request& request) {
-  const std::uint64_t seed = hash64(request.caller);
-  std::vector<candidate> candidates;
+address_book::address_book(const notes::fleet_model& model) {
+  centres_.reserve(model.data_centres.size());
+  for (const notes::data_centre& one : model.data_centres) {
+    centres_.push_back({one.id, one.region, one.out, {}});
+  }
   for (daemon_index i = 0; i < model.daemons.size(); ++i) {
     const notes::daemon_entry& daemon = model.daemons[i];
-    const bool usable =
-        i < status.size() && status[i].alive && !status[i].leaving;
-    if (!usable || model.is_out(daemon.data_centre)) continue;
-    candidates.push_back(
-        {distance(model, request.data_centre, daemon.data_centre),
-         mix64(seed, hash64(daemon.id)), i});
+    const auto home =
+        std::ranges::lower_bound(centres_, daemon.data_centre, {}, &centre::id);
+    if (home == centres_.end() || home->id != daemon.data_centre) continue;
+    home->daemons.push_back({i, hash64(daemon.id)});
   }
-  std::ranges::sort(candidates, [](const candidate& a, const candidate& b) {
+}
+
+std::vector<std::size_t> address_book::centres_by_distance(
+    const address_request& request) const {
+  const std::uint64_t seed = hash64(request.caller);
+  const auto own =
+      std::ranges::find(centres_, request.data_centre, &centre::id);
+  std::vector<scored_centre> order;
+  for (std::size_t i = 0; i < centres_.size(); ++i) {
+    if (centres_[i].out) continue;
+    int distance = 2;
+    if (own != centres_.end()) {
+      if (centres_[i].region == own->region) distance = 1;
+      if (centres_[i].id == own->id) distance = 0;
+    }
+    order.push_back({distance, mix64(seed, hash64(centres_[i].id)), i});
+  }
+  std::ranges::sort(order, [](const scored_centre& a, const scored_centre& b) {
     return std::tie(a.distance, b.score) < std::tie(b.distance, a.score);
   });
+  std::vector<std::size_t> positions;
+  positions.reserve(order.size());
+  for (const scored_centre& one : order) {
+    positions.push_back(one.position);
+  }
+  return positions;
+}
+
+std::vector<daemon_index> address_book::addresses_for(
+    const std::vector<daemon_status>& status,
+    const address_request& request) const {
+  const std::uint64_t seed = hash64(request.caller);
   std::vector<daemon_index> chosen;
-  for (const candidate& one : candidates) {
-    if (chosen.size() == request.count) break;
-    chosen.push_back(one.daemon);
+  for (const std::size_t position : centres_by_distance(request)) {
+    if (chosen.size() >= request.count) break;
+    std::vector<scored_daemon> usable;
+    for (const listed& one : centres_[position].daemons) {
+      const bool fit = one.daemon < status.size() && status[one.daemon].alive &&
+                       !status[one.daemon].leaving;
+      if (fit) usable.push_back({mix64(seed, one.hash), one.daemon});
+    }
+    const std::size_t taken =
+        std::min(request.count - chosen.size(), usable.size());
+    std::ranges::partial_sort(
+        usable, usable.begin() + static_cast<std::ptrdiff_t>(taken),
+        std::ranges::greater{}, &scored_daemon::score);
+    for (std::size_t i = 0; i < taken; ++i) {
+      chosen.push_back(usable[i].daemon);
+    }
   }
   return chosen;
 }
--- a/packages/placement/tests/placement_test.cpp
+++ b/packages/placement/tests/placement_test.cpp
@@ -207,9 +207,9 @@
 
 TEST(addresses_for, names_the_callers_data_centre_first) {
   const auto model = sample_fleet({});
-  const auto chosen =
-      addresses_for(*model, all_alive(*model),
-                    {.data_centre = "dc000001", .caller = "c", .count = 4});
+  const auto chosen = address_book(*model).addresses_for(
+      all_alive(*model),
+      {.data_centre = "dc000001", .caller = "c", .count = 4});
   ASSERT_EQ(chosen.size(), 4U);
   for (std::size_t i = 0; i < 3; ++i) {
     EXPECT_EQ(model->daemons[chosen[i]].data_centre, "dc000001");
@@ -223,8 +223,8 @@
   status[0].leaving = true;
   status[1].alive = false;
   model->data_centres[1].out = true;
-  const auto chosen = addresses_for(
-      *model, status, {.data_centre = "dc000000", .caller = "c", .count = 9});
+  const auto chosen = address_book(*model).addresses_for(
+      status, {.data_centre = "dc000000", .caller = "c", .count = 9});
   EXPECT_EQ(chosen.size(), 4U);
   EXPECT_EQ(std::ranges::count(chosen, 0U), 0);
   EXPECT_EQ(std::ranges::count(chosen, 1U), 0);
@@ -238,21 +238,54 @@
   auto status = all_alive(*model);
   const address_request request{
       .data_centre = "dc000000", .caller = "c", .count = 3};
-  const auto before = addresses_for(*model, status, request);
+  const auto before = address_book(*model).addresses_for(status, request);
   for (daemon_index other = 0; other < 8; ++other) {
     if (std::ranges::find(before, other) != before.end()) continue;
     status[other].alive = false;
-    EXPECT_EQ(addresses_for(*model, status, request), before);
+    EXPECT_EQ(address_book(*model).addresses_for(status, request), before);
     status[other].alive = true;
   }
 }
 
+// Differential: the naive choice walks and sorts the whole fleet.
+RC_GTEST_PROP(addresses_for, equals_a_walk_over_the_fleet, ()) {
+  const auto model = sample_fleet({.data_centres = 4});
+  auto status = all_alive(*model);
+  for (auto& one : status) {
+    one.alive = *rc::gen::inRange(0, 4) != 0;
+    one.leaving = *rc::gen::inRange(0, 5) == 0;
+  }
+  const auto out = *rc::gen::inRange<std::size_t>(0, 4);
+  model->data_centres[out].out = true;
+  const auto own = *rc::gen::inRange<std::size_t>(0, 4);
+  const address_request request{
+      .data_centre = model->data_centres[own].id, .caller = "c", .count = 5};
+  const std::uint64_t seed = hash64(request.caller);
+  const auto rank = [&](daemon_index d) {
+    const std::string& centre = model->daemons[d].data_centre;
+    const auto* there = model->find_data_centre(centre);
+    const bool near = there->region == model->data_centres[own].region;
+    const int distance = centre == request.data_centre ? 0 : (near ? 1 : 2);
+    return std::tuple(distance, ~mix64(seed, hash64(centre)),
+                      ~mix64(seed, hash64(model->daemons[d].id)));
+  };
+  std::vector<daemon_index> naive;
+  for (daemon_index d = 0; d < model->daemons.size(); ++d) {
+    const bool usable = status[d].alive && !status[d].leaving &&
+                        !model->is_out(model->daemons[d].data_centre);
+    if (usable) naive.push_back(d);
+  }
+  std::ranges::sort(naive, {}, rank);
+  naive.resize(std::min<std::size_t>(naive.size(), request.count));
+  RC_ASSERT(address_book(*model).addresses_for(status, request) == naive);
+}
+
 TEST(addresses_for, spreads_callers_evenly) {
   const auto model = sample_fleet({.daemons_per_centre = 4});
   std::vector<int> callers(model->daemons.size());
   for (int c = 0; c < 4000; ++c) {
-    const auto chosen = addresses_for(
-        *model, all_alive(*model),
+    const auto chosen = address_book(*model).addresses_for(
+        all_alive(*model),
         {.data_centre = "dc000000", .caller = std::to_string(c), .count = 1});
     ++callers[chosen[0]];
   }
--- a/packages/query/tests/execution_test.cpp
+++ b/packages/query/tests/execution_test.cpp
@@ -99,9 +99,8 @@
   run.start(start_time);
   const actions hedged = run.on_timer(start_time + 10ms);
   ASSERT_EQ(hedged.sends.size(), 3U);
-  const actions again = run.on_failure(start_time + 11ms,
-                                       hedged.sends[0].attempt,
-                                       {failure::not_sent});
+  const actions again = run.on_failure(
+      start_time + 11ms, hedged.sends[0].attempt, {failure::not_sent});
   ASSERT_EQ(again.sends.size(), 1U);
   EXPECT_EQ(again.sends[0].kind, attempt_kind::hedge);
   EXPECT_NE(again.sends[0].route.leaf, hedged.sends[0].route.leaf);
@@ -113,8 +112,7 @@
   run.start(start_time);
   const actions hedged = run.on_timer(start_time + 10ms);
   const actions lost = run.on_failure(start_time + 12ms,
-                                      hedged.sends[0].attempt,
-                                      {failure::lost});
+                                      hedged.sends[0].attempt, {failure::lost});
   EXPECT_EQ(lost.wake_at, start_time + 12ms);
   EXPECT_EQ(run.on_timer(start_time + 12ms).sends.size(), 1U);
 }
--- a/packages/server/src/control.cpp
+++ b/packages/server/src/control.cpp
@@ -55,6 +55,7 @@
       reader_(reader_options_of(context)),
       shares_(context.settings.control.hold_off),
       homes_(std::make_shared<placement::home_table>()),
+      addresses_(std::make_shared<placement::address_book>()),
       platform_(http_platform(loop.context(), context.settings.platform,
                               context.settings.listen.control.ip)),
       timer_(loop.context()),
@@ -205,6 +206,7 @@
                                   outcome.steps, outcome.gapless);
   }
   dirty_ = true;
+  addresses_ = std::make_shared<placement::address_book>(model);
   notes::model_ptr last = before;
   for (const notes::model_ptr& step : outcome.steps) {
     take_step(last, step);
@@ -410,6 +412,7 @@
   auto fresh = std::make_shared<view>();
   fresh->model = store_.model();
   fresh->homes = homes_;
+  fresh->addresses = addresses_;
   fresh->self = fresh->model->index_of_daemon(context_.settings.id);
   for (const notes::daemon_entry& daemon : fresh->model->daemons) {
     const membership::member_record* known = group_.find(daemon.id);
--- a/packages/server/src/control.hpp
+++ b/packages/server/src/control.hpp
@@ -86,6 +86,7 @@
   sources::host_list_state hosts_;
   placement::share_ledger shares_;
   std::shared_ptr<const placement::home_table> homes_;
+  std::shared_ptr<const placement::address_book> addresses_;
   platform_hooks platform_;
   std::unique_ptr<peers::control_client> client_;
   std::unique_ptr<peers::control_server> server_;
--- a/packages/server/src/entry.cpp
+++ b/packages/server/src/entry.cpp
@@ -99,8 +99,8 @@
   }
   std::string caller = front::parameter(request.target, "caller");
   if (caller.empty()) caller = request.remote;
-  const auto chosen = placement::addresses_for(
-      *current->model, current->status,
+  const auto chosen = current->addresses->addresses_for(
+      current->status,
       {.data_centre = front::parameter(request.target, "data_centre"),
        .caller = caller,
        .count = addresses_given});
@@ -454,11 +454,10 @@
       break;
   }
   if (answer.outcome == front::outcome_kind::not_run) {
-    const auto others =
-        placement::addresses_for(*work.current->model, work.current->status,
-                                 {.data_centre = {},
-                                  .caller = work.asked.request_id,
-                                  .count = addresses_given + 1});
+    const auto others = work.current->addresses->addresses_for(
+        work.current->status, {.data_centre = {},
+                               .caller = work.asked.request_id,
+                               .count = addresses_given + 1});
     for (const notes::daemon_index daemon : others) {
       if (daemon == work.current->self) continue;
       answer.addresses.push_back(work.current->model->daemons[daemon].callers);
--- a/packages/server/src/view.hpp
+++ b/packages/server/src/view.hpp
@@ -20,6 +20,8 @@
   notes::model_ptr model = std::make_shared<notes::fleet_model>();
   std::shared_ptr<const placement::home_table> homes =
       std::make_shared<placement::home_table>();
+  std::shared_ptr<const placement::address_book> addresses =
+      std::make_shared<placement::address_book>();
   /// Aligned with the model's daemons.
   std::vector<placement::daemon_status> status;
   std::optional<notes::daemon_index> self;
