query: learn from the leaf's own time and the hop apart

Change: the relay's own measure of each leaf, plus the hop, taken from the slowest result of the part.

--- a/packages/server/src/query_run.cpp
+++ b/packages/server/src/query_run.cpp
@@ -192,14 +192,29 @@
     part_failed(part_id, {peers::peer_errc::lost, "another part's answer"});
     return;
   }
+  const duration hop = hop_of(answer.value());
   for (const peers::task_result& result : answer.value().results) {
-    task_ended(result);
+    task_ended(result, hop);
   }
   if (answer.value().pending > 0 && !execution_.finished()) {
     collect(relay, part_id);
   }
 }
 
+// The results of a part come together, when the slowest has ended: only for
+// that one is the difference the hop alone.
+duration query_run::hop_of(const peers::part_answer& answer) const {
+  const time_point now = steady_clock::now();
+  duration least = duration::max();
+  for (const peers::task_result& result : answer.results) {
+    const auto info = attempts_.find(result.attempt);
+    if (info == attempts_.end()) continue;
+    least = std::min(least, now - info->second.sent_at - result.latency);
+  }
+  return least == duration::max() ? duration::zero()
+                                  : std::max(least, duration::zero());
+}
+
 void query_run::part_failed(std::uint64_t part_id,
                             const peers::peer_error& error) {
   const bool sent = error.code != peers::peer_errc::not_connected;
@@ -208,13 +223,14 @@
     if (info.part_id == part_id) affected.push_back(attempt);
   }
   for (const query::attempt_id attempt : affected) {
-    task_ended({.attempt = attempt,
-                .how = sent ? peers::task_ending::lost
-                            : peers::task_ending::not_sent});
+    task_ended(
+        {.attempt = attempt,
+         .how = sent ? peers::task_ending::lost : peers::task_ending::not_sent},
+        duration::zero());
   }
 }
 
-void query_run::task_ended(const peers::task_result& result) {
+void query_run::task_ended(const peers::task_result& result, duration hop) {
   const time_point now = steady_clock::now();
   const auto info = attempts_.extract(result.attempt);
   if (info.empty()) {
@@ -224,7 +240,7 @@
     return;
   }
   const query::route route = info.mapped().route;
-  const duration latency = now - info.mapped().sent_at;
+  const duration latency = result.latency + hop;
   const auto failed = failure_of(result.how);
   owner_.choice_.ended(now, *view_, route, failed, latency);
   service_experience& known = owner_.experience(execution_.asked().service->id);
--- a/packages/server/src/query_run.hpp
+++ b/packages/server/src/query_run.hpp
@@ -38,7 +38,9 @@
                      peers::peer_result<peers::part_answer> answer);
   void collect(notes::daemon_index relay, std::uint64_t part_id);
   void part_failed(std::uint64_t part_id, const peers::peer_error& error);
-  void task_ended(const peers::task_result& result);
+  /// `hop`: what the way to the relay and back added to the leaf's own time.
+  void task_ended(const peers::task_result& result, duration hop);
+  duration hop_of(const peers::part_answer& answer) const;
   void arm(time_point wake_at);
   duration silence() const;
 
