--- a/packages/admission/include/medlarloft/admission.hpp
+++ b/packages/admission/include/medlarloft/admission.hpp
@@ -98,7 +98,9 @@
  public:
   struct options {
     /// Tries per success that each class may cause before it is throttled.
-    std::array<double, notes::service_class_count> tolerance{3.0, 2.0, 1.3};
+    std::array<double, notes::service_class_count> tolerance{2.0, 1.15, 1.0};
+    /// Greatest share of each class that is refused, so that recovery shows.
+    std::array<double, notes::service_class_count> most_refused{0.6, 0.8, 0.95};
     duration half_life = std::chrono::seconds(2);
     /// Below this many tries nothing is refused.
     double min_tries = 20;
--- a/packages/admission/src/throttle.cpp
+++ b/packages/admission/src/throttle.cpp
@@ -23,7 +23,8 @@
   const double tolerance =
       options_.tolerance[static_cast<std::size_t>(priority)];
   const double refuse = (tries_ - tolerance * successes_) / (tries_ + 1.0);
-  return draw >= std::max(0.0, refuse);
+  const double most = options_.most_refused[static_cast<std::size_t>(priority)];
+  return draw >= std::clamp(refuse, 0.0, most);
 }
 
 void throttle::record(time_point now, bool success) {
--- a/packages/client/tests/client_test.cpp
+++ b/packages/client/tests/client_test.cpp
@@ -34,9 +34,9 @@
 
 TEST(note_check, passes_both_users_deployments) {
   for (const char* name : {"attiki", "cairo"}) {
-    const ran checked =
-        run({"note", "check", std::string(MEDLARLOFT_SOURCE_DIR) +
-                                  "/examples/" + name + "/note-1.json"});
+    const ran checked = run({"note", "check",
+                             std::string(MEDLARLOFT_SOURCE_DIR) + "/examples/" +
+                                 name + "/note-1.json"});
     EXPECT_EQ(checked.code, exit_ok) << checked.error;
     EXPECT_NE(checked.out.find("valid: version 1"), std::string::npos);
   }
@@ -66,8 +66,7 @@
 TEST(note_render, writes_values_with_the_head_last) {
   const std::string folder = testing::TempDir() + "/values";
   std::filesystem::remove_all(folder);
-  const ran rendered =
-      run({"note", "render", attiki}, {.out = folder});
+  const ran rendered = run({"note", "render", attiki}, {.out = folder});
   EXPECT_EQ(rendered.code, exit_ok) << rendered.error;
   EXPECT_TRUE(std::filesystem::exists(folder + "/medlarloft/head"));
   EXPECT_LT(rendered.out.find("medlarloft/notes/1/0"),
@@ -75,11 +74,9 @@
 }
 
 TEST(status, names_a_daemon_that_does_not_answer) {
-  const ran asked = run({"note", "status"},
-                        {.daemons = {{"127.0.0.1", 1}}});
+  const ran asked = run({"note", "status"}, {.daemons = {{"127.0.0.1", 1}}});
   EXPECT_EQ(asked.code, exit_failed);
-  EXPECT_NE(asked.error.find("127.0.0.1:1: did not answer"),
-            std::string::npos);
+  EXPECT_NE(asked.error.find("127.0.0.1:1: did not answer"), std::string::npos);
 }
 
 TEST(take_out, needs_a_data_centre_and_daemons) {
--- a/packages/front/tests/front_test.cpp
+++ b/packages/front/tests/front_test.cpp
@@ -24,12 +24,12 @@
   const auto unknown =
       read_query(R"({"request_id":"r","service":"s","hedge":true})");
   EXPECT_EQ(unknown.error().path, "hedge");
-  const auto odd = read_query(
-      R"({"request_id":"r","service":"s","deadline":"soon"})");
+  const auto odd =
+      read_query(R"({"request_id":"r","service":"s","deadline":"soon"})");
   EXPECT_EQ(odd.error().path, "deadline");
   EXPECT_EQ(odd.error().value, "\"soon\"");
-  const auto wide = read_query(
-      R"({"request_id":"r","service":"s","coverage_wanted":1.5})");
+  const auto wide =
+      read_query(R"({"request_id":"r","service":"s","coverage_wanted":1.5})");
   EXPECT_EQ(wide.error().path, "coverage_wanted");
   EXPECT_FALSE(read_query(R"({"request_id":"r"})").has_value());
   EXPECT_FALSE(read_query(R"({"request_id":"r","service":"s")").has_value());
@@ -51,11 +51,11 @@
 }
 
 TEST(answer, a_refusal_names_other_addresses) {
-  const auto read_back = read_answer(
-      write_answer({.request_id = "r",
-                    .outcome = outcome_kind::not_run,
-                    .retry_after = 20ms,
-                    .addresses = {{"127.0.0.1", 7}}}));
+  const auto read_back =
+      read_answer(write_answer({.request_id = "r",
+                                .outcome = outcome_kind::not_run,
+                                .retry_after = 20ms,
+                                .addresses = {{"127.0.0.1", 7}}}));
   EXPECT_EQ(read_back.value().outcome, outcome_kind::not_run);
   EXPECT_EQ(read_back.value().retry_after, duration(20ms));
   EXPECT_EQ(read_back.value().addresses.size(), 1U);
@@ -85,8 +85,8 @@
 }
 
 TEST(leaf_reply, refuses_truncated_doubled_and_mistyped_answers) {
-  const std::string whole = write_leaf_reply(
-      {.request_id = "r", .attempt = 1, .start_id = "s"});
+  const std::string whole =
+      write_leaf_reply({.request_id = "r", .attempt = 1, .start_id = "s"});
   EXPECT_FALSE(read_leaf_reply(whole.substr(0, whole.size() / 2)).has_value());
   EXPECT_FALSE(read_leaf_reply(whole + whole).has_value());
   for (const char* text :
--- a/packages/peers/include/medlarloft/peers.hpp
+++ b/packages/peers/include/medlarloft/peers.hpp
@@ -85,6 +85,7 @@
   not_run,   // the leaf refused
   snapshot_gone,
   lost,
+  overloaded,  // the relay's queue was full or too slow; the leaf saw nothing
 };
 
 struct task_result {
--- a/packages/peers/src/wire_codec.cpp
+++ b/packages/peers/src/wire_codec.cpp
@@ -60,7 +60,7 @@
 task_result read(wire::TaskResult::Reader from) {
   task_result result;
   result.attempt = from.getAttempt();
-  result.how = checked(from.getHow(), task_ending::lost);
+  result.how = checked(from.getHow(), task_ending::overloaded);
   result.answer.snapshot = from.getSnapshot();
   result.answer.range = {from.getRangeFrom(), from.getRangeTo()};
   result.oldest = from.getOldest();
--- a/packages/query/include/medlarloft/query.hpp
+++ b/packages/query/include/medlarloft/query.hpp
@@ -150,6 +150,8 @@
   bool complete = false;
   std::vector<row> rows;
   std::string reason;
+  /// The deadline passed while attempts were open.
+  bool out_of_time = false;
 };
 
 /// What the execution wants done, in order.
@@ -186,9 +188,11 @@
 
 /// Choices made outside of the execution.
 struct hooks {
-  /// Picks a replica and relay for a shard, none of those tried.
+  /// Picks a replica and relay for a shard, none of those tried; `snapshot` is
+  /// the pinned one, or 0.
   std::function<std::optional<route>(const notes::shard& shard,
-                                     const tried_routes& tried)>
+                                     const tried_routes& tried,
+                                     snapshot_id snapshot)>
       pick;
   /// Takes a token for one more leaf request than needed; false: go without.
   std::function<bool(attempt_kind)> take_extra;
--- a/packages/query/src/execution.cpp
+++ b/packages/query/src/execution.cpp
@@ -41,7 +41,8 @@
 
 void execution::send(time_point now, std::size_t index, attempt_kind kind) {
   shard_state& state = shards_[index];
-  const std::optional<route> chosen = hooks_.pick(*state.shard, state.tried);
+  const std::optional<route> chosen =
+      hooks_.pick(*state.shard, state.tried, gather_ ? gather_->pinned() : 0);
   if (!chosen) {
     if (state.open.empty()) settle_without(index);
     return;
@@ -187,7 +188,9 @@
     state.open.back().hedge_at =
         std::max(now, state.open.back().sent_at + *policy_.hedge_after);
   }
-  retry_or_settle(now, index);
+  // Nothing ran where the snapshot is gone; asking elsewhere costs little.
+  const bool costs = how.how != failure::snapshot_gone;
+  retry_or_settle(now, index, costs);
   check_done(now);
   return take(now);
 }
@@ -270,16 +273,18 @@
   if (waited) finish(now, "wanted coverage reached");
 }
 
-void execution::finish(time_point /*now*/, std::string reason) {
+void execution::finish(time_point now, std::string reason) {
   finished_ = true;
   // An attempt that is still open may run, unless it is cancelled in time,
   // which nobody can promise.
   const bool open_left = std::ranges::any_of(
       shards_, [](const shard_state& state) { return !state.open.empty(); });
   if (open_left) ran_ = true;
+  const bool out_of_time = open_left && now >= request_.deadline;
   for (shard_state& state : shards_)
     cancel_open(state);
   final_outcome result;
+  result.out_of_time = out_of_time;
   result.coverage.total = total_;
   if (gather_) {
     result.snapshot = gather_->pinned();
--- a/packages/query/tests/sample_service.hpp
+++ b/packages/query/tests/sample_service.hpp
@@ -34,7 +34,8 @@
 
 /// Picks the first replica that was not tried.
 inline std::optional<route> first_untried(const notes::shard& shard,
-                                          const tried_routes& tried) {
+                                          const tried_routes& tried,
+                                          snapshot_id /*snapshot*/) {
   for (const leaf_index leaf : shard.leafs) {
     const bool used = std::find(tried.leafs.begin(), tried.leafs.end(), leaf) !=
                       tried.leafs.end();
--- a/packages/server/src/entry.cpp
+++ b/packages/server/src/entry.cpp
@@ -371,17 +371,16 @@
   std::string body = work.asked.body;
   auto run = std::make_shared<query_run>(
       *this, current, std::move(request), policy, std::move(body),
-      [this, id, work = std::move(work)](const query::final_outcome& outcome,
-                                         const query::tally& tally) {
-        ended(id, work, outcome, tally);
-      });
+      [this, id, work = std::move(work)](
+          const query::final_outcome& outcome, const query::tally& tally,
+          bool overloaded) { ended(id, work, outcome, tally, overloaded); });
   runs_.emplace(id, run);
   run->start();
 }
 
 void entry::ended(std::uint64_t id, const pending& work,
                   const query::final_outcome& outcome,
-                  const query::tally& tally) {
+                  const query::tally& tally, bool overloaded) {
   const time_point now = steady_clock::now();
   const auto keep = runs_.extract(id);
   figures_.count(metrics::counter::leaf_requests_needed, tally.needed);
@@ -395,7 +394,11 @@
   }
   const bool answered = outcome.kind == query::outcome_kind::answered;
   service_experience& known = experience(work.request.service->id);
-  known.throttle.record(now, answered && outcome.coverage.covered > 0);
+  // Only what overload left incomplete counts: a shard that is lost must not
+  // make the entry refuse the rest.
+  const bool suffered =
+      !(answered && outcome.complete) && (overloaded || outcome.out_of_time);
+  known.throttle.record(now, !suffered);
   if (answered) {
     hedges_.earn(tally.needed);
     retries_.earn(tally.needed);
--- a/packages/server/src/entry.hpp
+++ b/packages/server/src/entry.hpp
@@ -63,7 +63,8 @@
   void admit(pending work);
   void start(std::uint64_t id, pending work);
   void ended(std::uint64_t id, const pending& work,
-             const query::final_outcome& outcome, const query::tally& tally);
+             const query::final_outcome& outcome, const query::tally& tally,
+             bool overloaded);
   void refuse(const pending& work, front::outcome_kind kind, std::string reason,
               duration retry_after = {});
   query::policy policy_for(const notes::service& service, time_point deadline,
--- a/packages/server/src/leaf_pool.cpp
+++ b/packages/server/src/leaf_pool.cpp
@@ -67,7 +67,7 @@
   const std::optional<std::uint64_t> dropped = queue_.push(place);
   if (dropped) {
     const auto gone = waiting_.extract(*dropped);
-    fail(gone.mapped(), peers::task_ending::not_sent);
+    fail(gone.mapped(), peers::task_ending::overloaded);
   }
   pump();
 }
@@ -122,7 +122,7 @@
   const time_point now = steady_clock::now();
   for (const std::uint64_t late : queue_.expire(now)) {
     const auto gone = waiting_.extract(late);
-    fail(gone.mapped(), peers::task_ending::not_sent);
+    fail(gone.mapped(), peers::task_ending::overloaded);
   }
   while (queue_.size() > 0 && state_.may_start(now)) {
     const connection_ptr connection = take_idle();
--- a/packages/server/src/query_run.cpp
+++ b/packages/server/src/query_run.cpp
@@ -18,6 +18,7 @@
     case peers::task_ending::answered:
       return std::nullopt;
     case peers::task_ending::not_sent:
+    case peers::task_ending::overloaded:
       return query::failure::not_sent;
     case peers::task_ending::not_run:
       return query::failure::not_run;
@@ -44,15 +45,31 @@
 query::hooks query_run::make_hooks() {
   return {
       .pick =
-          [this](const notes::shard& shard, const query::tried_routes& tried) {
-            return owner_.choice_.pick(steady_clock::now(), *view_, shard,
-                                       tried);
+          [this](const notes::shard& shard, const query::tried_routes& tried,
+                 notes::snapshot_id snapshot) {
+            return pick(shard, tried, snapshot);
           },
       .take_extra =
           [this](query::attempt_kind kind) { return owner_.take_extra(kind); },
       .new_attempt = [this] { return owner_.random_() >> tag_shift; }};
 }
 
+std::optional<query::route> query_run::pick(const notes::shard& shard,
+                                            const query::tried_routes& tried,
+                                            notes::snapshot_id snapshot) {
+  const query::snapshot_tracker& held =
+      owner_.experience(execution_.asked().service->id).snapshots;
+  const time_point now = steady_clock::now();
+  // Replicas that are known to lack the snapshot come last.
+  query::tried_routes holding = tried;
+  std::ranges::copy_if(
+      shard.leafs, std::back_inserter(holding.leafs),
+      [&](notes::leaf_index leaf) { return held.lacks(leaf, snapshot); });
+  const auto chosen = owner_.choice_.pick(now, *view_, shard, holding);
+  if (chosen) return chosen;
+  return owner_.choice_.pick(now, *view_, shard, tried);
+}
+
 void query_run::start() {
   carry_out(execution_.start(steady_clock::now()));
 }
@@ -74,7 +91,7 @@
     }
     attempts_.clear();
     const finished done = std::exchange(done_, nullptr);
-    if (done) done(*wanted.done, execution_.tally());
+    if (done) done(*wanted.done, execution_.tally(), overloaded_);
     return;
   }
   if (!execution_.finished()) arm(wanted.wake_at);
@@ -242,6 +259,7 @@
   const query::route route = info.mapped().route;
   const duration latency = result.latency + hop;
   const auto failed = failure_of(result.how);
+  if (result.how == peers::task_ending::overloaded) overloaded_ = true;
   owner_.choice_.ended(now, *view_, route, failed, latency);
   service_experience& known = owner_.experience(execution_.asked().service->id);
   if (result.newest != 0) {
--- a/packages/server/src/query_run.hpp
+++ b/packages/server/src/query_run.hpp
@@ -13,8 +13,10 @@
 
 class query_run : public std::enable_shared_from_this<query_run> {
  public:
-  using finished = std::function<void(const query::final_outcome& outcome,
-                                      const query::tally& tally)>;
+  /// `overloaded`: some relay's queue was full or too slow.
+  using finished =
+      std::function<void(const query::final_outcome& outcome,
+                         const query::tally& tally, bool overloaded)>;
 
   query_run(entry& owner, view_ptr current, query::request request,
             query::policy policy, std::string body, finished done);
@@ -30,6 +32,9 @@
   };
 
   query::hooks make_hooks();
+  std::optional<query::route> pick(const notes::shard& shard,
+                                   const query::tried_routes& tried,
+                                   notes::snapshot_id snapshot);
   void carry_out(query::actions wanted);
   void cancel(const std::vector<query::cancel_action>& cancels);
   void send(const std::vector<query::send_action>& sends);
@@ -50,6 +55,7 @@
   query::policy policy_;
   std::string body_;
   finished done_;
+  bool overloaded_ = false;
   boost::asio::steady_timer timer_;
   std::map<query::attempt_id, attempt_info> attempts_;
 };
--- a/packages/server/tests/replica_choice_test.cpp
+++ b/packages/server/tests/replica_choice_test.cpp
@@ -22,10 +22,9 @@
                       {.id = "d1", .data_centre = "a"},
                       {.id = "d2", .data_centre = "b"},
                       {.id = "d3", .data_centre = "b"}};
-    model->leafs = {{.id = "near", .data_centre = "a", .slots = 4,
-                     .connections = 9},
-                    {.id = "other", .data_centre = "b", .slots = 4,
-                     .connections = 9}};
+    model->leafs = {
+        {.id = "near", .data_centre = "a", .slots = 4, .connections = 9},
+        {.id = "other", .data_centre = "b", .slots = 4, .connections = 9}};
     shard_.leafs = {0, 1};
     model_ = model;
     current_.model = model;
