admission: one throttle for each class; refused tries count

Change: tries and successes of each class apart, refused tries included, so that what is admitted follows what succeeds; the entry keeps 3 ms of the deadline for the way back, not 1.

--- a/bench/sample_note.hpp
+++ b/bench/sample_note.hpp
@@ -45,8 +45,8 @@
   std::size_t next = 0;
   for (std::size_t s = 0; next < leafs; ++s) {
     const std::size_t left = (leafs - next) / replicas_per_shard;
-    const std::size_t count = std::max<std::size_t>(
-        1, std::min(shards_per_service, left));
+    const std::size_t count =
+        std::max<std::size_t>(1, std::min(shards_per_service, left));
     json shards = json::array();
     const std::uint64_t span = notes::key_space / count;
     for (std::size_t i = 0; i < count; ++i) {
--- a/fakes/leaf_fake.hpp
+++ b/fakes/leaf_fake.hpp
@@ -92,7 +92,7 @@
                              front::leaf_outcome outcome) const;
   void fill_rows(const front::leaf_request& request,
                  front::leaf_reply& reply) const;
-  duration work_time(const front::leaf_request& request);
+  duration work_time();
 
   net::io_context& loop_;
   leaf_options options_;
--- a/fuzz/settings.cpp
+++ b/fuzz/settings.cpp
@@ -1,7 +1,7 @@
 /// Settings: whatever comes is read whole or refused with a text.
 
-#include "input.hpp"
 #include "medlarloft/settings.hpp"
+#include "input.hpp"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
--- a/packages/admission/include/medlarloft/admission.hpp
+++ b/packages/admission/include/medlarloft/admission.hpp
@@ -92,17 +92,18 @@
 };
 
 /// Refuses a share of a service's queries by itself while its backend servers
-/// refuse, lower classes first, so that refused work costs nothing further
-/// down. The share follows the ratio of tries to successes.
+/// are overloaded, so that refused work costs nothing further down. For each
+/// class the share follows from its tries, refused ones included, and its
+/// successes; lower classes fail first, since servers serve them last.
 class throttle {
  public:
   struct options {
     /// Tries per success that each class may cause before it is throttled.
-    std::array<double, notes::service_class_count> tolerance{2.0, 1.15, 1.0};
+    std::array<double, notes::service_class_count> tolerance{2.0, 1.3, 1.1};
     /// Greatest share of each class that is refused, so that recovery shows.
     std::array<double, notes::service_class_count> most_refused{0.6, 0.8, 0.95};
     duration half_life = std::chrono::seconds(2);
-    /// Below this many tries nothing is refused.
+    /// Below this many tries of a class nothing is refused.
     double min_tries = 20;
   };
 
@@ -110,15 +111,20 @@
 
   /// `draw` is uniform in [0, 1).
   bool admit(time_point now, service_class priority, double draw);
-  void record(time_point now, bool success);
+  /// Takes the end of an admitted query.
+  void record(time_point now, service_class priority, bool success);
 
  private:
-  void decay(time_point now);
+  struct counts {
+    double tries = 0;
+    double successes = 0;
+    time_point last{};
+  };
+
+  counts& decayed(time_point now, service_class priority);
 
   options options_;
-  double tries_ = 0;
-  double successes_ = 0;
-  time_point last_{};
+  std::array<counts, notes::service_class_count> counts_{};
 };
 
 /// What is known of a non-idempotent request id.
--- a/packages/admission/src/throttle.cpp
+++ b/packages/admission/src/throttle.cpp
@@ -5,32 +5,37 @@
 
 namespace medlarloft::admission {
 
-void throttle::decay(time_point now) {
-  if (last_ == time_point{}) last_ = now;
-  if (now <= last_) return;
+throttle::counts& throttle::decayed(time_point now, service_class priority) {
+  counts& known = counts_[static_cast<std::size_t>(priority)];
+  if (known.last == time_point{}) known.last = now;
+  if (now <= known.last) return known;
   const double halvings =
-      std::chrono::duration<double>(now - last_).count() /
+      std::chrono::duration<double>(now - known.last).count() /
       std::chrono::duration<double>(options_.half_life).count();
   const double factor = std::exp2(-halvings);
-  tries_ *= factor;
-  successes_ *= factor;
-  last_ = now;
+  known.tries *= factor;
+  known.successes *= factor;
+  known.last = now;
+  return known;
 }
 
 bool throttle::admit(time_point now, service_class priority, double draw) {
-  decay(now);
-  if (tries_ < options_.min_tries) return true;
-  const double tolerance =
-      options_.tolerance[static_cast<std::size_t>(priority)];
-  const double refuse = (tries_ - tolerance * successes_) / (tries_ + 1.0);
-  const double most = options_.most_refused[static_cast<std::size_t>(priority)];
-  return draw >= std::clamp(refuse, 0.0, most);
+  counts& known = decayed(now, priority);
+  if (known.tries < options_.min_tries) return true;
+  const auto index = static_cast<std::size_t>(priority);
+  const double refuse =
+      (known.tries - options_.tolerance[index] * known.successes) /
+      (known.tries + 1.0);
+  const bool admitted =
+      draw >= std::clamp(refuse, 0.0, options_.most_refused[index]);
+  if (!admitted) known.tries += 1.0;
+  return admitted;
 }
 
-void throttle::record(time_point now, bool success) {
-  decay(now);
-  tries_ += 1.0;
-  if (success) successes_ += 1.0;
+void throttle::record(time_point now, service_class priority, bool success) {
+  counts& known = decayed(now, priority);
+  known.tries += 1.0;
+  if (success) known.successes += 1.0;
 }
 
 }  // namespace medlarloft::admission
--- a/packages/backends/include/medlarloft/backends.hpp
+++ b/packages/backends/include/medlarloft/backends.hpp
@@ -42,6 +42,7 @@
   refused_leaving,  // refused because it leaves, surely not run
   lost,             // the connection died
   timed_out,
+  other,  // says nothing about the server's state
 };
 
 /// What an answer tells about its server.
--- a/packages/backends/src/server_state.cpp
+++ b/packages/backends/src/server_state.cpp
@@ -116,6 +116,7 @@
       evidence = turn_cold(now, cold_evidence::lost_connection);
       break;
     case ending::timed_out:
+    case ending::other:
       break;
   }
   return warm_before ? evidence : std::nullopt;
--- a/packages/membership/src/probing.cpp
+++ b/packages/membership/src/probing.cpp
@@ -254,7 +254,7 @@
   relayed_.erase(relay);
 }
 
-outputs group::leave(time_point now, member_state how) {
+outputs group::leave(time_point /*now*/, member_state how) {
   outputs out;
   self_.state = how;
   enqueue(self_.id);
@@ -274,7 +274,6 @@
     body.updates.push_back(self_);
     send(out, *record, std::move(body));
   }
-  (void)now;
   return out;
 }
 
--- a/packages/peers/src/connection.hpp
+++ b/packages/peers/src/connection.hpp
@@ -40,7 +40,7 @@
   void start(call make, duration silence, call_failed failed) {
     last_used_ = steady_clock::now();
     if (link_) {
-      issue(make, silence, std::move(failed));
+      issue(make, silence, failed);
       return;
     }
     waiting_.push_back({std::move(make), silence, std::move(failed)});
@@ -111,7 +111,7 @@
     link_ = std::make_shared<link>(make_stream(std::move(socket)));
     watch(link_);
     for (queued& one : calls) {
-      issue(one.make, one.silence, std::move(one.failed));
+      issue(one.make, one.silence, one.failed);
     }
   }
 
--- a/packages/server/src/entry.cpp
+++ b/packages/server/src/entry.cpp
@@ -17,7 +17,7 @@
 constexpr duration forward_grace = std::chrono::milliseconds(100);
 constexpr duration forward_cost = std::chrono::milliseconds(2);
 /// Part of the deadline that the way back to the caller may take.
-constexpr duration answer_cost = std::chrono::milliseconds(1);
+constexpr duration answer_cost = std::chrono::milliseconds(3);
 constexpr duration default_retry_after = std::chrono::milliseconds(100);
 
 admission::gate::options gate_options(const settings::query_settings& values,
@@ -336,7 +336,7 @@
 }
 
 query::policy entry::policy_for(const notes::service& service,
-                                time_point deadline, bool idempotent) {
+                                bool idempotent) {
   const settings::query_settings& values = context_.settings.query;
   const service_experience& known = experience(service.id);
   query::policy policy{.attempt_timeout = values.leaf_timeout};
@@ -348,7 +348,6 @@
             : std::chrono::duration_cast<duration>(learnt * hedge_margin);
   }
   policy.rerun_needs = learnt;
-  (void)deadline;
   return policy;
 }
 
@@ -365,8 +364,7 @@
   if (request.snapshot == 0) {
     request.snapshot = known.snapshots.best(service);
   }
-  const query::policy policy =
-      policy_for(service, request.deadline, request.idempotent);
+  const query::policy policy = policy_for(service, request.idempotent);
   const view_ptr current = work.current;
   std::string body = work.asked.body;
   auto run = std::make_shared<query_run>(
@@ -398,7 +396,7 @@
   // make the entry refuse the rest.
   const bool suffered =
       !(answered && outcome.complete) && (overloaded || outcome.out_of_time);
-  known.throttle.record(now, !suffered);
+  known.throttle.record(now, work.request.priority, !suffered);
   if (answered) {
     hedges_.earn(tally.needed);
     retries_.earn(tally.needed);
--- a/packages/server/src/entry.hpp
+++ b/packages/server/src/entry.hpp
@@ -67,8 +67,7 @@
              bool overloaded);
   void refuse(const pending& work, front::outcome_kind kind, std::string reason,
               duration retry_after = {});
-  query::policy policy_for(const notes::service& service, time_point deadline,
-                           bool idempotent);
+  query::policy policy_for(const notes::service& service, bool idempotent);
   service_experience& experience(const std::string& service);
   peers::traffic_client& client(const view& current,
                                 notes::daemon_index daemon);
--- a/packages/server/src/leaf_pool.cpp
+++ b/packages/server/src/leaf_pool.cpp
@@ -249,7 +249,7 @@
   const front::leaf_request& asked = run.work.task.request;
   peers::task_result result{.attempt = asked.attempt,
                             .how = peers::task_ending::lost};
-  facts.how = backends::ending::timed_out;
+  facts.how = backends::ending::other;
   auto read = front::read_leaf_reply(response.body);
   const bool own = read && read.value().attempt == asked.attempt &&
                    read.value().request_id == asked.request_id;
@@ -281,7 +281,6 @@
       result.how = peers::task_ending::not_run;
       break;
     case front::leaf_outcome::gone:
-      facts.how = backends::ending::timed_out;
       result.how = peers::task_ending::snapshot_gone;
       break;
     case front::leaf_outcome::cancelled:
