--- a/bench/capacity.hpp
+++ b/bench/capacity.hpp
@@ -19,6 +19,10 @@
   std::vector<double> values;
 };
 
+/// Adds one value to the slope of that name, which is made on first use.
+void add(std::vector<slope>& slopes, const std::string& name,
+         const std::string& unit, double size, double value);
+
 struct fit {
   double per_unit = 0;
   double constant = 0;
--- a/bench/capacity_control.cpp
+++ b/bench/capacity_control.cpp
@@ -25,18 +25,6 @@
   return sizes;
 }
 
-// Adds one value to the slope of that name.
-void add(std::vector<slope>& slopes, const std::string& name,
-         const std::string& unit, double size, double value) {
-  auto found = std::ranges::find(slopes, name, &slope::name);
-  if (found == slopes.end()) {
-    slopes.push_back({name, unit, {}, {}});
-    found = std::prev(slopes.end());
-  }
-  found->sizes.push_back(size);
-  found->values.push_back(value);
-}
-
 }  // namespace
 
 void measure_notes(std::vector<slope>& slopes) {
--- a/bench/capacity_main.cpp
+++ b/bench/capacity_main.cpp
@@ -21,6 +21,17 @@
 
 namespace medlarloft::bench {
 
+void add(std::vector<slope>& slopes, const std::string& name,
+         const std::string& unit, double size, double value) {
+  auto found = std::ranges::find(slopes, name, &slope::name);
+  if (found == slopes.end()) {
+    slopes.push_back({name, unit, {}, {}});
+    found = std::prev(slopes.end());
+  }
+  found->sizes.push_back(size);
+  found->values.push_back(value);
+}
+
 fit fit_line(const slope& measured) {
   const auto count = static_cast<double>(measured.sizes.size());
   const double mean_size =
--- a/bench/capacity_traffic.cpp
+++ b/bench/capacity_traffic.cpp
@@ -13,17 +13,6 @@
 
 constexpr std::size_t full_shards = 530;
 
-void add(std::vector<slope>& slopes, const std::string& name,
-         const std::string& unit, double size, double value) {
-  auto found = std::ranges::find(slopes, name, &slope::name);
-  if (found == slopes.end()) {
-    slopes.push_back({name, unit, {}, {}});
-    found = std::prev(slopes.end());
-  }
-  found->sizes.push_back(size);
-  found->values.push_back(value);
-}
-
 // One query over all shards of a service, each answered at once.
 void run_query(const notes::service& service) {
   query::attempt_id next = 0;
