--- a/apps/medlarloftd/main.cpp
+++ b/apps/medlarloftd/main.cpp
@@ -4,12 +4,17 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <csignal>
+#include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 
 #include "medlarloft/logs.hpp"
+#include "medlarloft/platform.hpp"
 #include "medlarloft/server.hpp"
 #include "medlarloft/settings.hpp"
+#include "medlarloft/tier.hpp"
 
 ABSL_FLAG(std::string, settings, "", "path of the JSON settings file");
 ABSL_FLAG(bool, check, false, "check the settings and exit");
@@ -18,6 +23,10 @@
 ABSL_FLAG(int, traffic_threads, 0,
           "number of traffic threads; beats the settings when above 0");
 
+ABSL_FLAG(std::string, settings_from, "",
+          "environment variable that names the settings file of a daemon on "
+          "the users' platform");
+
 namespace {
 
 constexpr int exit_failed = 1;
@@ -28,6 +37,41 @@
   return exit_invalid;
 }
 
+// Runs a daemon on the users' platform.
+int run_on_platform(const std::string& variable) {
+  const char* path = std::getenv(variable.c_str());
+  if (path == nullptr) {
+    return refuse("--settings_from: " + variable + " is not set");
+  }
+  const auto read = [path]() -> std::optional<medlarloft::tier::settings> {
+    const auto text = medlarloft::settings::read_file(path);
+    if (!text) {
+      refuse(text.error().text());
+      return std::nullopt;
+    }
+    auto values = medlarloft::tier::read_settings(text.value());
+    if (values) return std::move(values).value();
+    refuse(std::string(path) + ": " + values.error().text());
+    return std::nullopt;
+  };
+  auto values = read();
+  if (!values) return exit_invalid;
+  if (absl::GetFlag(FLAGS_check)) {
+    std::cout << path << ": valid\n";
+    return 0;
+  }
+  // A write to a connection that the other end closed is an error, not an end.
+  static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+  medlarloft::tier::daemon daemon(std::move(*values),
+                                  medlarloft::platform::make_adapter());
+  daemon.on_reload(read);
+  if (const auto ended = daemon.run(); !ended) {
+    std::cerr << "medlarloftd: " << ended.error().text << '\n';
+    return exit_failed;
+  }
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -39,6 +83,10 @@
   if (rest.size() > 1) {
     return refuse("argument \"" + std::string(rest[1]) + "\" is not known");
   }
+  if (const std::string variable = absl::GetFlag(FLAGS_settings_from);
+      !variable.empty()) {
+    return run_on_platform(variable);
+  }
   const std::string path = absl::GetFlag(FLAGS_settings);
   if (path.empty()) return refuse("--settings: names no file");
   const auto text = medlarloft::settings::read_file(path);
--- a/packages/base/include/medlarloft/base.hpp
+++ b/packages/base/include/medlarloft/base.hpp
@@ -91,6 +91,14 @@
 result<endpoint, text_error> parse_endpoint(std::string_view text);
 std::string format_endpoint(const endpoint& value);
 
+/// One HTTP header field.
+struct header {
+  std::string name;
+  std::string value;
+
+  friend bool operator==(const header&, const header&) = default;
+};
+
 /// A token bucket that refills continuously; pure, time is an argument.
 ///
 ///     token_bucket bucket({.rate_per_second = 10, .burst = 5});
--- /dev/null
+++ b/packages/fanout/src/execution.cpp
@@ -0,0 +1,332 @@
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "medlarloft/fanout.hpp"
+
+namespace medlarloft::fanout {
+namespace {
+
+/// How often a waiting request looks for a free leaf by itself.
+constexpr duration wait_step = std::chrono::milliseconds(5);
+/// A leaf that refused without running may be asked again; in all, this many
+/// sends for each leaf that a request may be sent to.
+constexpr std::uint32_t sends_per_attempt = 2;
+/// A hedge is sent while the second leaf can still answer in time, but not
+/// before the first one had this many times the expected time.
+constexpr double least_patience = 1.5;
+constexpr double second_answer = 1.3;
+/// Callers come back when a leaf that failed is due for its next trial.
+constexpr duration retry_when_dark = std::chrono::milliseconds(300);
+constexpr duration retry_when_busy = std::chrono::milliseconds(100);
+/// Shares are fractions of small numbers; this is below any difference.
+constexpr double share_tolerance = 1e-9;
+
+duration scaled(duration value, double factor) {
+  return std::chrono::duration_cast<duration>(value * factor);
+}
+
+bool surely_not_run(ending how) {
+  return how == ending::shed || how == ending::misdirected ||
+         how == ending::no_connection;
+}
+
+}  // namespace
+
+std::string_view name_of(attempt_kind kind) noexcept {
+  constexpr std::array<std::string_view, 3> names{"first", "retry", "hedge"};
+  return names[static_cast<std::size_t>(kind)];
+}
+
+std::string_view name_of(verdict what) noexcept {
+  constexpr std::array<std::string_view, 5> names{
+      "answered", "not_run", "failed", "out_of_time", "caller_left"};
+  return names[static_cast<std::size_t>(what)];
+}
+
+execution::execution(request asked, hooks choices)
+    : request_(std::move(asked)),
+      hooks_(std::move(choices)),
+      shards_(request_.services.size()) {}
+
+actions execution::start(time_point now) {
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    const auto leaf = hooks_.pick(request_.services[i], {});
+    if (leaf) {
+      send(now, i, leaf.value(), attempt_kind::first);
+      continue;
+    }
+    shards_[i].obstacle = leaf.error();
+    if (must_wait(shards_[i], leaf.error())) {
+      shards_[i].waiting_since = now;
+      shards_[i].waiting_kind = attempt_kind::first;
+    } else {
+      give_up(i);
+    }
+    // A gather that cannot cover enough is refused before anything runs.
+    const auto lost = static_cast<std::size_t>(
+        std::ranges::count_if(shards_, &shard_state::given_up));
+    if (!covered_enough(shards_.size() - lost)) {
+      pending_.sends.clear();
+      tally_ = {};
+      for (shard_state& shard : shards_)
+        shard.open.clear();
+      finish(verdict::not_run, leafs::name_of(leaf.error()));
+      return take(now);
+    }
+  }
+  check_done(now);
+  return take(now);
+}
+
+bool execution::must_wait(const shard_state& shard, no_leaf why) const {
+  return why == no_leaf::all_busy && shard.open.empty();
+}
+
+void execution::send(time_point now, std::size_t index, leaf_handle leaf,
+                     attempt_kind kind) {
+  shard_state& shard = shards_[index];
+  const attempt_id id = hooks_.new_attempt();
+  shard.open.push_back({id, leaf, hedge_time(now, leaf)});
+  if (std::ranges::find(shard.asked, leaf) == shard.asked.end()) {
+    shard.asked.push_back(leaf);
+  }
+  ++shard.sends;
+  shard.waiting_since.reset();
+  ++tally_.sent;
+  if (kind == attempt_kind::hedge) ++tally_.hedges;
+  if (kind == attempt_kind::retry) ++tally_.retries;
+  pending_.sends.push_back({id, index, leaf, kind});
+}
+
+time_point execution::hedge_time(time_point now, leaf_handle leaf) const {
+  const duration expected = hooks_.expected(leaf);
+  const duration left =
+      request_.answer_by - now - scaled(expected, second_answer);
+  const duration in_time = std::max(left, scaled(expected, least_patience));
+  return now + std::min(hooks_.patience(leaf), in_time);
+}
+
+// Sends one more request for the shard. Returns false if that is not possible
+// now or ever; `waiting_since` tells the two apart.
+bool execution::try_send(time_point now, std::size_t index,
+                         attempt_kind kind) {
+  shard_state& shard = shards_[index];
+  const std::uint32_t attempts = std::max(request_.route->attempts, 1U);
+  if (shard.sends >= attempts * sends_per_attempt) return false;
+  std::vector<leaf_handle> tried = shard.unreachable;
+  leafs::pick_options limits;
+  const bool all_asked = shard.asked.size() >= attempts;
+  if (all_asked) {
+    // Only a leaf that is sure not to have run the request is asked again.
+    if (kind == attempt_kind::hedge || shard.may_have_run) return false;
+    limits.only = shard.asked;
+  } else {
+    tried.insert(tried.end(), shard.asked.begin(), shard.asked.end());
+  }
+  limits.tried = tried;
+  const auto leaf = hooks_.pick(request_.services[index], limits);
+  if (!leaf) {
+    shard.obstacle = leaf.error();
+    if (must_wait(shard, leaf.error()) && !shard.waiting_since) {
+      shard.waiting_since = now;
+      shard.waiting_kind = kind;
+    }
+    return false;
+  }
+  const bool extra = shard.sends > 0 && !shard.asked.empty();
+  if (extra && !hooks_.take_extra(request_.services[index])) return false;
+  send(now, index, leaf.value(), kind);
+  return true;
+}
+
+actions execution::on_answer(time_point now, attempt_id id,
+                             leaf_answer answer) {
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    shard_state& shard = shards_[i];
+    const auto found = std::ranges::find(shard.open, id, &attempt::id);
+    if (found == shard.open.end()) continue;
+    shard.open.erase(found);
+    const bool doubled =
+        request_.route->gathers() &&
+        std::ranges::any_of(shards_, [&answer](const shard_state& other) {
+          return other.answer && other.answer->receipt == answer.receipt;
+        });
+    if (doubled) {
+      shard.may_have_run = true;
+      after_failure(now, i, ending::lost);
+      break;
+    }
+    shard.answer = std::move(answer);
+    for (const attempt& open : shard.open)
+      pending_.abandons.push_back({open.id, open.leaf});
+    shard.open.clear();
+    break;
+  }
+  check_done(now);
+  return take(now);
+}
+
+actions execution::on_failure(time_point now, attempt_id id, ending how,
+                              std::optional<leaf_answer> answer) {
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    shard_state& shard = shards_[i];
+    const auto found = std::ranges::find(shard.open, id, &attempt::id);
+    if (found == shard.open.end()) continue;
+    const leaf_handle leaf = found->leaf;
+    shard.open.erase(found);
+    if (how == ending::no_connection) {
+      std::erase(shard.asked, leaf);
+      shard.unreachable.push_back(leaf);
+    }
+    if (!surely_not_run(how)) shard.may_have_run = true;
+    if (answer) shard.failure = std::move(answer);
+    after_failure(now, i, how);
+    break;
+  }
+  check_done(now);
+  return take(now);
+}
+
+void execution::after_failure(time_point now, std::size_t index, ending how) {
+  shard_state& shard = shards_[index];
+  if (shard.answer || finished_) return;
+  const bool kind_allows = request_.idempotent() || !shard.may_have_run;
+  const auto kind = how == ending::no_connection && shard.asked.empty()
+                        ? attempt_kind::first
+                        : attempt_kind::retry;
+  if (kind_allows && try_send(now, index, kind)) return;
+  if (kind_allows && shard.waiting_since) return;
+  if (shard.open.empty()) give_up(index);
+}
+
+bool execution::may_repeat(const shard_state& shard) const {
+  return request_.idempotent() && !shard.answer && !shard.given_up;
+}
+
+void execution::run_hedges(time_point now) {
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    shard_state& shard = shards_[i];
+    if (!may_repeat(shard)) continue;
+    const auto due = std::ranges::find_if(
+        shard.open, [now](const attempt& open) { return open.hedge_at <= now; });
+    if (due == shard.open.end()) continue;
+    due->hedge_at = time_point::max();
+    try_send(now, i, attempt_kind::hedge);
+  }
+}
+
+void execution::run_waiting(time_point now) {
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    shard_state& shard = shards_[i];
+    if (!shard.waiting_since) continue;
+    if (try_send(now, i, shard.waiting_kind)) continue;
+    const bool busy = shard.obstacle == no_leaf::all_busy;
+    const bool too_long = now - *shard.waiting_since >= request_.longest_wait;
+    if (busy && !too_long) continue;
+    shard.waiting_since.reset();
+    give_up(i);
+  }
+}
+
+actions execution::on_timer(time_point now) {
+  if (finished_) return take(now);
+  if (now < request_.deadline) {
+    run_hedges(now);
+    run_waiting(now);
+  }
+  check_done(now);
+  return take(now);
+}
+
+actions execution::caller_left(time_point now) {
+  if (!finished_) finish(verdict::caller_left, "caller_left");
+  return take(now);
+}
+
+bool execution::covered_enough(std::size_t parts) const {
+  if (parts == 0) return false;
+  const double share =
+      static_cast<double>(parts) / static_cast<double>(shards_.size());
+  const double least =
+      request_.route->gathers() ? request_.route->least_coverage : 1.0;
+  return share + share_tolerance >= least;
+}
+
+void execution::check_done(time_point now) {
+  if (finished_) return;
+  const auto answered = static_cast<std::size_t>(std::ranges::count_if(
+      shards_, [](const shard_state& each) { return each.answer.has_value(); }));
+  const auto lost = static_cast<std::size_t>(
+      std::ranges::count_if(shards_, &shard_state::given_up));
+  if (answered == shards_.size()) {
+    finish(verdict::answered, "complete");
+  } else if (!covered_enough(shards_.size() - lost)) {
+    finish(failure_verdict(), "too_many_shards_failed");
+  } else if (covered_enough(answered) && answered + lost == shards_.size()) {
+    finish(verdict::answered, "shards_failed");
+  } else if (covered_enough(answered) && now >= request_.answer_by) {
+    finish(verdict::answered, "objective_near");
+  } else if (now >= request_.deadline) {
+    finish(failure_verdict() == verdict::not_run ? verdict::not_run
+                                                      : verdict::out_of_time,
+           "deadline");
+  }
+}
+
+// "Not run" is said only if no leaf can have begun, nor will.
+verdict execution::failure_verdict() const {
+  const bool ran = std::ranges::any_of(shards_, [](const shard_state& each) {
+    return each.answer || each.may_have_run || !each.open.empty();
+  });
+  if (!ran) return verdict::not_run;
+  const bool passes_on = !request_.route->gathers() && shards_[0].failure;
+  return passes_on ? verdict::answered : verdict::failed;
+}
+
+void execution::finish(verdict what, std::string_view reason) {
+  finished_ = true;
+  final_outcome done{.what = what, .reason = reason};
+  bool busy = false;
+  for (shard_state& shard : shards_) {
+    for (const attempt& open : shard.open)
+      pending_.abandons.push_back({open.id, open.leaf});
+    shard.open.clear();
+    if (shard.answer) {
+      done.answers.push_back(std::move(*shard.answer));
+    } else {
+      ++done.missing_parts;
+      busy = busy || shard.obstacle == no_leaf::all_busy;
+    }
+  }
+  const bool single = !request_.route->gathers();
+  if (single && what == verdict::answered && done.answers.empty()) {
+    done.answers.push_back(std::move(*shards_[0].failure));
+    done.reason = "leaf_failed";
+  }
+  done.retry_after = busy ? retry_when_busy : retry_when_dark;
+  pending_.done = std::move(done);
+}
+
+time_point execution::next_wake(time_point now) const {
+  if (finished_) return time_point::max();
+  time_point next = request_.deadline;
+  const bool may_end_early = request_.route->gathers();
+  if (may_end_early && now < request_.answer_by) {
+    next = std::min(next, request_.answer_by);
+  }
+  for (const shard_state& shard : shards_) {
+    if (shard.waiting_since) next = std::min(next, now + wait_step);
+    if (!may_repeat(shard)) continue;
+    for (const attempt& open : shard.open)
+      next = std::min(next, open.hedge_at);
+  }
+  return next;
+}
+
+actions execution::take(time_point now) {
+  pending_.wake_at = next_wake(now);
+  return std::exchange(pending_, {});
+}
+
+}  // namespace medlarloft::fanout
--- /dev/null
+++ b/packages/http/src/message.cpp
@@ -0,0 +1,76 @@
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <iterator>
+
+#include "medlarloft/http.hpp"
+
+namespace medlarloft::http {
+namespace {
+
+bool same_name(std::string_view left, std::string_view right) {
+  return boost::beast::iequals({left.data(), left.size()},
+                               {right.data(), right.size()});
+}
+
+}  // namespace
+
+std::optional<std::string_view> message::find(std::string_view name) const {
+  const auto found = std::ranges::find_if(
+      headers, [name](const header& each) { return same_name(each.name, name); });
+  if (found == headers.end()) return std::nullopt;
+  return found->value;
+}
+
+bool is_hop_by_hop(std::string_view name) noexcept {
+  constexpr std::array<std::string_view, 11> names{
+      "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
+      "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+      "content-length", "expect"};
+  return std::ranges::any_of(
+      names, [name](std::string_view each) { return same_name(each, name); });
+}
+
+std::vector<header> end_to_end_headers(const message& received) {
+  std::vector<std::string_view> named;
+  for (const header& each : received.headers) {
+    if (!same_name(each.name, "connection")) continue;
+    std::string_view rest = each.value;
+    while (!rest.empty()) {
+      const std::size_t comma = std::min(rest.find(','), rest.size());
+      std::string_view token = rest.substr(0, comma);
+      while (token.starts_with(' ')) token.remove_prefix(1);
+      while (token.ends_with(' ')) token.remove_suffix(1);
+      named.push_back(token);
+      rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+  }
+  std::vector<header> kept;
+  std::ranges::copy_if(
+      received.headers, std::back_inserter(kept), [&named](const header& each) {
+        return !is_hop_by_hop(each.name) &&
+               std::ranges::none_of(named, [&each](std::string_view token) {
+                 return same_name(token, each.name);
+               });
+      });
+  return kept;
+}
+
+std::string to_request_text(const message& request) {
+  std::string text;
+  text.reserve(256 + request.body.size());
+  text.append(request.method).append(" ").append(request.target);
+  text.append(" HTTP/1.1\r\n");
+  for (const header& each : request.headers)
+    text.append(each.name).append(": ").append(each.value).append("\r\n");
+  const bool has_body = !request.body.empty() || request.method == "POST" ||
+                        request.method == "PUT" || request.method == "PATCH";
+  if (has_body) {
+    text.append("Content-Length: ")
+        .append(std::to_string(request.body.size()))
+        .append("\r\n");
+  }
+  return text.append("\r\n").append(request.body);
+}
+
+}  // namespace medlarloft::http
--- /dev/null
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -0,0 +1,205 @@
+#pragma once
+
+/// The backend servers as one daemon sees them: what the platform says of
+/// each, what this daemon has experienced, and which leaf a request goes to.
+/// A pure state machine; time and randomness are arguments.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "medlarloft/base.hpp"
+
+namespace medlarloft::leafs {
+
+/// What the platform says of one start of a leaf.
+struct registration {
+  std::string id;
+  std::string service;
+  endpoint address;
+  std::string data_centre;
+  /// Requests that the leaf works on at once.
+  std::uint32_t slots = 1;
+  bool draining = false;
+  /// How much longer the leaf is cold.
+  duration cold_left{};
+  /// Tells the starts of one id apart.
+  std::int64_t started_at = 0;
+
+  friend bool operator==(const registration&, const registration&) = default;
+};
+
+/// Names one start of one leaf for the life of the process.
+using leaf_handle = std::uint32_t;
+
+/// Names one request sent to a leaf.
+using attempt_id = std::uint64_t;
+
+/// How one request to a leaf ended.
+enum class ending : std::uint8_t {
+  answered,       // a success
+  failed,         // the leaf ran it and answered with a failure
+  shed,           // the leaf says that it did not run it
+  misdirected,    // another leaf has the address
+  lost,           // the connection broke after something was sent
+  silent,         // no answer within the time allowed
+  no_connection,  // nothing was sent
+  abandoned,      // not waited for any longer; says nothing of the leaf
+};
+std::string_view name_of(ending how) noexcept;
+
+/// Limits of a service that all daemons share.
+struct service_limits {
+  std::uint32_t max_connections = 1;
+  /// Requests a second that a cold leaf bears; zero: no bound.
+  double cold_rate = 0;
+};
+
+/// Why no leaf was picked.
+enum class no_leaf : std::uint8_t {
+  none_registered,  // none that may get new requests
+  all_tried,
+  all_dark,  // those that are left failed lately and are not due for a trial
+  all_busy,  // connections or cold allowance are used up for now
+};
+std::string_view name_of(no_leaf why) noexcept;
+
+/// Leafs that a request was already sent to, or may be limited to.
+struct pick_options {
+  std::span<const leaf_handle> tried;
+  /// Only these, if not empty.
+  std::span<const leaf_handle> only;
+};
+
+struct leaf_view {
+  registration said;
+  bool usable = false;
+  bool ejected = false;
+  std::size_t in_flight = 0;
+  double slowness = 1;
+};
+
+class leaf_set {
+ public:
+  struct options {
+    std::string data_centre;
+    /// A round trip to another data centre, until one was measured.
+    duration far_round_trip = std::chrono::milliseconds(8);
+    /// Answers this many times slower than expected are outliers.
+    double outlier_factor = 4;
+    /// A request older than this many times the expected time shows a pause.
+    double overdue_factor = 3;
+    duration overdue_floor = std::chrono::milliseconds(15);
+    /// How fast experience of slowness fades.
+    duration slowness_half_life = std::chrono::milliseconds(1500);
+    duration first_ejection = std::chrono::milliseconds(250);
+    duration longest_ejection = std::chrono::seconds(2);
+    /// Expected work until something was measured.
+    duration first_guess = std::chrono::milliseconds(20);
+    /// Share of a leaf's connections that daemons use; the rest is reserve for
+    /// connections that a leaf still counts.
+    double connection_share = 0.9;
+    /// Requests to a cold leaf that all daemons may begin at once.
+    std::uint32_t cold_burst = 5;
+  };
+
+  leaf_set(options settings, std::uint64_t seed);
+
+  /// Takes what the platform says of a leaf.
+  leaf_handle put(time_point now, const registration& said);
+  void remove(const std::string& id);
+  /// Takes the data centres whose leafs get nothing.
+  void set_out(std::set<std::string> data_centres);
+  void set_limits(const std::string& service, service_limits limits);
+  /// Takes how many daemons there are, and this daemon's rank for a leaf among
+  /// them: the first ones may use a cold leaf.
+  void set_daemons(std::size_t count,
+                   std::function<std::size_t(std::string_view)> rank);
+
+  /// Picks the leaf at which `work` will most likely end first.
+  result<leaf_handle, no_leaf> pick(time_point now, const std::string& service,
+                                    const std::string& work,
+                                    const pick_options& limits = {});
+
+  /// Whether a request to the service could be sent now.
+  std::optional<no_leaf> obstacle(time_point now,
+                                  const std::string& service) const;
+
+  void sent(time_point now, leaf_handle leaf, attempt_id attempt,
+            const std::string& work);
+  void ended(time_point now, leaf_handle leaf, attempt_id attempt, ending how);
+
+  /// How long a request to the leaf usually takes.
+  duration expected(time_point now, leaf_handle leaf,
+                    const std::string& work) const;
+  /// After how long without an answer another leaf should be asked.
+  duration patience(time_point now, leaf_handle leaf,
+                    const std::string& work) const;
+
+  void measured_round_trip(const std::string& data_centre, duration value);
+
+  const registration* find(leaf_handle leaf) const;
+  bool usable(leaf_handle leaf) const;
+  /// Connections that this daemon may hold to a leaf of the service.
+  std::size_t connections(const std::string& service) const;
+  std::vector<leaf_handle> of_service(const std::string& service) const;
+  std::vector<leaf_view> view(time_point now) const;
+  std::size_t size() const noexcept { return by_id_.size(); }
+
+ private:
+  struct open_request {
+    attempt_id attempt = 0;
+    time_point sent_at;
+    duration expected;
+    std::string work;
+  };
+  struct leaf {
+    registration said;
+    bool present = true;
+    std::vector<open_request> open;
+    double slowness = 1;
+    time_point slowness_at{};
+    std::uint32_t outliers = 0;
+    time_point last_outlier{};
+    std::uint32_t failures = 0;
+    double failure_share = 0;
+    time_point ejected_until{};
+    bool trial_open = false;
+    time_point cold_until{};
+    token_bucket cold_tokens{{}};
+  };
+
+  duration work_time(const std::string& work) const;
+  duration round_trip(const leaf& one) const;
+  double slowness(time_point now, const leaf& one) const;
+  duration expected_at(time_point now, const leaf& one,
+                       const std::string& work) const;
+  bool overdue(time_point now, const leaf& one) const;
+  bool may_get(const leaf& one) const;
+  std::optional<no_leaf> obstacle_of(time_point now, const leaf& one) const;
+  double cost(time_point now, const leaf& one, const std::string& work) const;
+  void learn(time_point now, leaf& one, const open_request& request);
+  void failed(time_point now, leaf& one, bool at_once);
+  void reset_cold(time_point now, leaf& one);
+
+  options options_;
+  random_stream random_;
+  std::vector<leaf> leafs_;
+  std::unordered_map<std::string, leaf_handle> by_id_;
+  std::unordered_map<std::string, std::vector<leaf_handle>> by_service_;
+  std::unordered_map<std::string, service_limits> limits_;
+  std::unordered_map<std::string, duration> work_times_;
+  std::unordered_map<std::string, duration> round_trips_;
+  std::set<std::string> out_;
+  std::size_t daemons_ = 1;
+  std::function<std::size_t(std::string_view)> rank_;
+};
+
+}  // namespace medlarloft::leafs
--- a/packages/metrics/include/medlarloft/metrics.hpp
+++ b/packages/metrics/include/medlarloft/metrics.hpp
@@ -92,6 +92,9 @@
 
 summary merge(const std::vector<const recorder*>& recorders);
 
+/// Writes the latencies alone, in the Prometheus text exposition format.
+std::string latency_text(const summary& figures, std::string_view process);
+
 /// Writes the Prometheus text exposition format.
 std::string to_prometheus(const summary& figures, std::string_view process);
 
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -144,15 +144,9 @@
   return figures;
 }
 
-std::string to_prometheus(const summary& figures, std::string_view process) {
+std::string latency_text(const summary& figures, std::string_view process) {
   std::ostringstream out;
   const std::string label = "{process=\"" + std::string(process) + "\"";
-  for (std::size_t i = 0; i < counter_count; ++i) {
-    const std::string name =
-        "medlarloft_" + std::string(counter_names[i]) + "_total";
-    out << "# TYPE " << name << " counter\n"
-        << name << label << "} " << figures.counters[i] << '\n';
-  }
   out << "# TYPE medlarloft_latency_seconds summary\n";
   for (const auto& [key, kept] : figures.latencies) {
     const std::string labels = label + ",service=\"" + key.service +
@@ -168,6 +162,19 @@
         << kept.sum_seconds << "\nmedlarloft_latency_seconds_count" << labels
         << "} " << kept.count << '\n';
   }
+  return out.str();
+}
+
+std::string to_prometheus(const summary& figures, std::string_view process) {
+  std::ostringstream out;
+  const std::string label = "{process=\"" + std::string(process) + "\"";
+  for (std::size_t i = 0; i < counter_count; ++i) {
+    const std::string name =
+        "medlarloft_" + std::string(counter_names[i]) + "_total";
+    out << "# TYPE " << name << " counter\n"
+        << name << label << "} " << figures.counters[i] << '\n';
+  }
+  out << latency_text(figures, process);
   out << "# TYPE medlarloft_coverage_tenths gauge\n";
   for (std::size_t i = 0; i < figures.coverage.size(); ++i) {
     out << "medlarloft_coverage_tenths" << label << ",tenths=\"" << i << "\"} "
--- /dev/null
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -0,0 +1,177 @@
+#pragma once
+
+/// The daemon on a platform that is only read: callers connect by themselves,
+/// the store tells the configuration and the backend servers, and daemons
+/// tell each other what the store cannot tell in time. One loop, one thread.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "medlarloft/base.hpp"
+#include "medlarloft/documents.hpp"
+#include "medlarloft/fanout.hpp"
+#include "medlarloft/http.hpp"
+#include "medlarloft/leafs.hpp"
+#include "medlarloft/replica.hpp"
+#include "medlarloft/routes.hpp"
+
+namespace medlarloft::tier {
+
+/// Settings of one daemon. Every value comes from the settings file.
+struct settings {
+  std::string id;
+  std::string data_centre;
+  std::string region;
+  struct {
+    endpoint callers;
+    endpoint readiness;
+    endpoint addresses;
+    /// Daemons among themselves.
+    endpoint control;
+    /// Counters and histograms as text; port 0: not served.
+    endpoint metrics;
+  } listen;
+  /// Control addresses of some daemons; they may be stale.
+  std::vector<endpoint> seeds;
+  /// The platform's store.
+  endpoint store;
+  struct {
+    double ratio = 0.2;
+    duration window = std::chrono::seconds(10);
+    double slack = 0;
+  } retries;
+  /// From the stop signal to the end of the process.
+  duration stop_within = std::chrono::seconds(6);
+  /// Longest time that callers may keep addresses.
+  duration longest_keep = std::chrono::seconds(5);
+  std::size_t max_descriptors = 1024;
+};
+
+/// Reads the settings; an error names the key path, the value and the reason.
+documents::document_result<settings> read_settings(std::string_view text);
+
+/// What a record of the store holds.
+struct data_centre_out {
+  std::string data_centre;
+};
+/// A record that is none of ours, or cannot be read; it changes nothing.
+struct foreign_record {
+  std::string reason;
+};
+using record = std::variant<routes::configuration, leafs::registration,
+                            data_centre_out, foreign_record>;
+
+/// What a key of the store names.
+enum class record_kind : std::uint8_t {
+  configuration,
+  leaf,
+  data_centre_out,
+  other,
+};
+struct record_subject {
+  record_kind kind = record_kind::other;
+  /// The leaf or the data centre.
+  std::string name;
+};
+
+/// One page of a listing.
+struct listing_page {
+  std::vector<replica::change> records;
+  replica::revision upto = 0;
+  bool more = false;
+};
+
+struct changes_page {
+  std::vector<replica::change> changes;
+  replica::revision upto = 0;
+};
+
+enum class adapter_errc : std::uint8_t { malformed };
+using adapter_error = basic_error<adapter_errc>;
+
+/// What a caller says of its request beside method, path and body.
+struct caller_facts {
+  std::string request_id;
+  std::string host;
+  /// How long the caller waits; nothing: it does not say.
+  std::optional<duration> remaining;
+};
+
+/// What a leaf's answer says beside status and body.
+struct leaf_facts {
+  std::string receipt;
+  /// The leaf did not run the request.
+  bool not_run = false;
+  /// Another leaf has the address.
+  bool other_leaf = false;
+};
+
+struct address_question {
+  std::string data_centre;
+  std::string region;
+};
+
+/// The words of a platform, translated. It decides nothing.
+struct adapter {
+  /// Targets and answers of the store.
+  std::function<std::string(std::string_view after_key)> listing_target;
+  std::function<std::string(replica::revision after, duration wait)>
+      changes_target;
+  std::function<result<listing_page, adapter_error>(std::string_view)>
+      read_listing;
+  std::function<result<changes_page, adapter_error>(std::string_view)>
+      read_changes;
+  /// Keys under this prefix are the operators'.
+  std::string operator_prefix;
+  std::function<record_subject(std::string_view key)> subject;
+  std::function<record(std::string_view key, std::string_view value)> read;
+
+  std::function<caller_facts(const http::message&)> read_caller;
+  std::function<http::message(const http::message& asked,
+                              const leafs::registration& to, duration left)>
+      leaf_request;
+  std::function<leaf_facts(const http::message&)> read_leaf;
+  /// Whether a leaf's answer is one to the request with this id.
+  std::function<bool(const http::message&, std::string_view request_id)>
+      belongs;
+  std::function<std::vector<header>(
+      const std::string& request_id, const std::vector<fanout::leaf_answer>&,
+      std::uint32_t missing)>
+      gathered_headers;
+
+  std::function<std::optional<address_question>(const http::message&)>
+      read_address_question;
+  std::function<std::string(const std::vector<endpoint>&, duration keep)>
+      write_addresses;
+  std::function<bool(const http::message&)> asks_readiness;
+};
+
+enum class tier_errc : std::uint8_t { cannot_start };
+using tier_error = basic_error<tier_errc>;
+
+/// One daemon. `run` returns when the process should end.
+class daemon {
+ public:
+  daemon(settings values, adapter words);
+  ~daemon();
+  daemon(const daemon&) = delete;
+  daemon& operator=(const daemon&) = delete;
+
+  result<void, tier_error> run();
+
+  /// Reads the settings anew; called at SIGHUP. Returns nothing when the file
+  /// cannot be used; the settings in force stay.
+  void on_reload(std::function<std::optional<settings>()> reread);
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace medlarloft::tier
--- /dev/null
+++ b/packages/tier/src/daemon.cpp
@@ -0,0 +1,514 @@
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "event_log.hpp"
+#include "figures.hpp"
+#include "fleet_state.hpp"
+#include "leaf_pool.hpp"
+#include "medlarloft/tier.hpp"
+#include "peer_link.hpp"
+#include "request_run.hpp"
+#include "store_reader.hpp"
+
+namespace medlarloft::tier {
+namespace {
+
+using membership::member_record;
+using membership::member_state;
+using std::chrono::milliseconds;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+/// How often members are probed.
+constexpr duration probe_period = milliseconds(500);
+constexpr duration probe_timeout = milliseconds(200);
+/// Addresses given to callers at most.
+constexpr std::size_t most_addresses = 64;
+/// With this many daemons in a caller's data centre no others are named.
+constexpr std::size_t enough_near = 2;
+/// How long callers keep addresses; some keep them three times as long, which
+/// must end before a stopping daemon does.
+constexpr duration address_keep = milliseconds(1300);
+constexpr int keep_factor = 3;
+/// Work at the end of a stop: the last answers and words.
+constexpr duration stop_margin = milliseconds(700);
+constexpr duration stop_poll = milliseconds(50);
+constexpr duration sweep_period = milliseconds(500);
+/// Limits are divided by at least this many daemons, since others may start.
+constexpr std::size_t least_fleet = 8;
+/// Daemons that are gone count for shared limits this long.
+constexpr duration gone_counts_for = std::chrono::seconds(10);
+constexpr duration not_ready_retry = milliseconds(300);
+/// A gap between two turns of the loop that shows that the process stood still.
+constexpr duration stall_gap = std::chrono::seconds(2);
+/// Descriptors that are not for callers.
+constexpr std::size_t reserved_descriptors = 600;
+
+std::uint64_t seed_of(const settings& values) {
+  std::random_device device;
+  return mix64(hash64(values.id), device());
+}
+
+membership::group_options group_options_of(const settings& values,
+                                           std::uint64_t seed) {
+  const auto started = std::chrono::duration_cast<milliseconds>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count();
+  return {.self = {.id = values.id,
+                   .data_centre = values.data_centre,
+                   .control = values.listen.control,
+                   .incarnation = static_cast<std::uint64_t>(started)},
+          .seeds = values.seeds,
+          .probe_period = probe_period,
+          .probe_timeout = probe_timeout,
+          .random_seed = seed};
+}
+
+// Changes of the store between daemons: a list of key, revision and value.
+std::string write_changes(const std::vector<replica::change>& changes) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const replica::change& each : changes) {
+    list.push_back({each.key, each.changed_at,
+                    each.value ? nlohmann::json(*each.value)
+                               : nlohmann::json(nullptr)});
+  }
+  return list.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<std::vector<replica::change>> read_changes(
+    const std::string& text) {
+  const auto list = nlohmann::json::parse(text, nullptr, false);
+  if (!list.is_array()) return std::nullopt;
+  std::vector<replica::change> changes;
+  for (const auto& each : list) {
+    const bool sound = each.is_array() && each.size() == 3 &&
+                       each[0].is_string() && each[1].is_number_unsigned() &&
+                       (each[2].is_null() || each[2].is_string());
+    if (!sound) return std::nullopt;
+    changes.push_back({each[0].get<std::string>(),
+                       each[1].get<replica::revision>(),
+                       each[2].is_null()
+                           ? std::nullopt
+                           : std::optional(each[2].get<std::string>())});
+  }
+  return changes;
+}
+
+}  // namespace
+
+struct daemon::state {
+  state(settings given, adapter given_words);
+
+  result<void, tier_error> start();
+  void start_store();
+  void serve(std::shared_ptr<http::exchange> asked);
+  void serve_addresses(const std::shared_ptr<http::exchange>& asked);
+  void serve_readiness(const std::shared_ptr<http::exchange>& asked);
+  std::vector<endpoint> addresses_for(const address_question& asked) const;
+  void take_members(membership::outputs wanted);
+  void note_progress();
+  void tick_members();
+  void sweep();
+  void set_shares(time_point now);
+  void await_signal();
+  void on_signal(int number);
+  void begin_stop();
+  void await_end();
+  http::limits caller_limits() const;
+  bool ready() const { return !stopping && fleet.ready(); }
+
+  settings values;
+  adapter words;
+  std::uint64_t seed;
+  http::io_context loop{1};
+  loop::timer_queue timers{loop};
+  event_log log;
+  figures counts;
+  leafs::leaf_set leafs;
+  fleet_state fleet;
+  leaf_pool pool;
+  fanout::retry_budget budget;
+  traffic_context traffic;
+  std::unique_ptr<membership::group> members;
+  std::shared_ptr<peer_link> link;
+  std::unique_ptr<store_reader> store;
+  std::unique_ptr<http::server> callers;
+  std::unique_ptr<http::server> readiness;
+  std::unique_ptr<http::server> addresses;
+  std::unique_ptr<http::server> metrics_page;
+  boost::asio::signal_set signals{loop};
+  std::map<std::string, routes::split_chooser> splits;
+  std::map<std::string, time_point> seen_daemons;
+  std::function<std::optional<settings>()> reread;
+  loop::timer_queue::handle member_timer;
+  time_point last_sweep{};
+  bool stopping = false;
+  time_point stop_at{};
+  time_point quiet_at{};
+};
+
+daemon::state::state(settings given, adapter given_words)
+    : values(std::move(given)),
+      words(std::move(given_words)),
+      seed(seed_of(values)),
+      log(timers, {.id = values.id}),
+      leafs({.data_centre = values.data_centre}, mix64(seed, 1)),
+      fleet(words, leafs, log, words.operator_prefix),
+      pool(loop, timers, values.listen.callers.ip,
+           {.connected =
+                [this](leafs::leaf_handle leaf, duration took) {
+                  counts.add(count::connections_opened);
+                  leafs.measured_round_trip(leafs.find(leaf)->data_centre,
+                                            took);
+                }}),
+      budget({.ratio = values.retries.ratio,
+              .slack = values.retries.slack,
+              .window = values.retries.window,
+              .daemons = least_fleet}),
+      traffic{timers, words, leafs, pool, budget, log, counts} {}
+
+http::limits daemon::state::caller_limits() const {
+  if (!fleet.ready()) return {};
+  const routes::request_limits& limits = fleet.table()->source().limits;
+  return {.max_header_bytes = limits.max_header_bytes,
+          .max_body_bytes = limits.max_body_bytes,
+          .request_timeout = limits.header_timeout,
+          .idle_timeout = limits.idle_timeout};
+}
+
+void daemon::state::start_store() {
+  store = std::make_unique<store_reader>(
+      loop, timers,
+      store_reader::options{.store = values.store,
+                            .from_ip = values.listen.callers.ip,
+                            .seed = mix64(seed, 2)},
+      words,
+      store_reader::hooks{
+          .changes =
+              [this](const auto& changes, replica::revision upto) {
+                fleet.apply(steady_clock::now(), changes, upto, "store");
+                note_progress();
+              },
+          .listing =
+              [this](const auto& listing, replica::revision from) {
+                fleet.apply_listing(steady_clock::now(), listing, from,
+                                    "store");
+                note_progress();
+              },
+          .reachable =
+              [this](bool answers, const std::string& reason) {
+                fleet.store_answers(steady_clock::now(), answers);
+                log.write(answers ? "store_regained" : "store_lost",
+                          {{"reason", reason},
+                           {"revision", fleet.copy().upto()}});
+              }});
+  store->start();
+}
+
+result<void, tier_error> daemon::state::start() {
+  const std::size_t places =
+      values.max_descriptors > 2 * reserved_descriptors
+          ? values.max_descriptors - reserved_descriptors
+          : values.max_descriptors / 2;
+  const auto serve_at =
+      [this, places](const endpoint& where,
+                     http::request_handler handler) -> auto {
+    return std::make_unique<http::server>(
+        loop, timers,
+        http::server::options{.listen = where,
+                              .max_connections = places,
+                              .limits = [this] { return caller_limits(); }},
+        std::move(handler));
+  };
+  callers = serve_at(values.listen.callers,
+                     [this](auto asked) { serve(std::move(asked)); });
+  readiness = serve_at(values.listen.readiness,
+                       [this](auto asked) { serve_readiness(asked); });
+  addresses = serve_at(values.listen.addresses,
+                       [this](auto asked) { serve_addresses(asked); });
+  metrics_page = serve_at(values.listen.metrics, [this](auto asked) {
+    counts.set(count::store_calls, store->calls());
+    counts.set(count::peer_bytes, link->sent_bytes());
+    asked->respond({.status = status_ok,
+                    .headers = {{"Content-Type", "text/plain"}},
+                    .body = counts.text(values.id)});
+  });
+  for (auto* each : {callers.get(), readiness.get(), addresses.get(),
+                     metrics_page.get()}) {
+    if (auto began = each->start(); !began) {
+      return tier_error{tier_errc::cannot_start, began.error().text};
+    }
+  }
+  members = std::make_unique<membership::group>(
+      group_options_of(values, mix64(seed, 3)),
+      [this](notes::note_version from) {
+        const auto found = fleet.copy().since(from);
+        std::vector<notes::release_note> notes;
+        if (found.upto <= from) return notes;
+        notes.push_back({.version = found.upto,
+                         .base = found.listing ? 0 : from,
+                         .text = write_changes(found.changes)});
+        return notes;
+      });
+  link = std::make_shared<peer_link>(
+      loop, timers, values.listen.control,
+      [this](const membership::message& message) {
+        take_members(members->receive(steady_clock::now(), message));
+      });
+  if (auto began = link->start(); !began) return began.error();
+  take_members(members->start(steady_clock::now()));
+  start_store();
+  last_sweep = steady_clock::now();
+  set_shares(last_sweep);
+  timers.after(sweep_period, [this] { sweep(); });
+  signals.add(SIGTERM);
+  signals.add(SIGINT);
+  signals.add(SIGHUP);
+  await_signal();
+  log.write("started", {{"data_centre", values.data_centre},
+                        {"callers", format_endpoint(values.listen.callers)},
+                        {"seeds", values.seeds.size()}});
+  return outcome::success();
+}
+
+void daemon::state::take_members(membership::outputs wanted) {
+  for (const membership::envelope& each : wanted.sends)
+    link->send(each.to, each.message);
+  for (const membership::received_notes& each : wanted.notes) {
+    for (const notes::release_note& note : each.chain) {
+      const auto changes = read_changes(note.text);
+      if (!changes || note.version <= fleet.copy().upto()) continue;
+      const time_point now = steady_clock::now();
+      if (note.base == 0) {
+        fleet.apply_listing(now, *changes, note.version, each.from);
+      } else if (note.base <= fleet.copy().upto()) {
+        fleet.apply(now, *changes, note.version, each.from);
+      }
+      note_progress();
+    }
+  }
+  for (const membership::member_event& each : wanted.events) {
+    log.write("member", {{"member", each.id},
+                         {"state", membership::name_of(each.state)}});
+  }
+  if (!wanted.events.empty()) set_shares(steady_clock::now());
+  tick_members();
+}
+
+// Tells the group how far this daemon's copy of the store is.
+void daemon::state::note_progress() {
+  const replica::revision upto = fleet.copy().upto();
+  // One revision has one content, so the digest says nothing more.
+  auto wanted = members->set_note(steady_clock::now(), upto, upto, {});
+  for (const membership::envelope& each : wanted.sends)
+    link->send(each.to, each.message);
+}
+
+void daemon::state::tick_members() {
+  timers.cancel(member_timer);
+  member_timer = timers.at(members->next_tick(), [this] {
+    member_timer = {};
+    take_members(members->tick(steady_clock::now()));
+  });
+}
+
+void daemon::state::sweep() {
+  const time_point now = steady_clock::now();
+  if (now - last_sweep > stall_gap) {
+    log.write("woke_late", {{"after", now - last_sweep}});
+    take_members(members->woke_late(now));
+  }
+  last_sweep = now;
+  fleet.tick(now);
+  pool.sweep(now, [this](leafs::leaf_handle leaf) {
+    return leafs.usable(leaf);
+  });
+  set_shares(now);
+  if (!stopping || now < stop_at) {
+    timers.after(sweep_period, [this] { sweep(); });
+  }
+}
+
+// Limits are divided by every daemon that was there lately.
+void daemon::state::set_shares(time_point now) {
+  for (const member_record& each : members->members()) {
+    const bool here = each.state == member_state::alive ||
+                      each.state == member_state::suspected ||
+                      each.state == member_state::leaving;
+    if (here) seen_daemons[each.id] = now;
+  }
+  std::erase_if(seen_daemons, [now](const auto& entry) {
+    return now - entry.second > gone_counts_for;
+  });
+  const std::size_t fleet_size = std::max(seen_daemons.size(), least_fleet);
+  leafs.set_daemons(fleet_size, [this](std::string_view leaf) {
+    const std::uint64_t own = hash64(values.id, hash64(leaf));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(seen_daemons, [&](const auto& entry) {
+          return hash64(entry.first, hash64(leaf)) < own;
+        }));
+  });
+  budget.set_daemons(fleet_size);
+}
+
+std::vector<endpoint> daemon::state::addresses_for(
+    const address_question& asked) const {
+  std::vector<endpoint> near;
+  std::vector<endpoint> all;
+  const auto add = [&](const member_record& each) {
+    const endpoint address{each.control.ip, values.listen.callers.port};
+    if (each.data_centre == asked.data_centre) near.push_back(address);
+    all.push_back(address);
+  };
+  for (const member_record& each : members->members()) {
+    const bool self = each.id == values.id;
+    if (self ? ready() : each.state == member_state::alive) add(each);
+  }
+  if (near.size() >= enough_near) all = std::move(near);
+  if (all.empty() && !stopping) {
+    all.push_back(values.listen.callers);
+  }
+  if (all.size() > most_addresses) all.resize(most_addresses);
+  return all;
+}
+
+void daemon::state::serve_addresses(
+    const std::shared_ptr<http::exchange>& asked) {
+  const auto question = words.read_address_question(asked->request());
+  if (!question) {
+    asked->respond({.status = status_not_found});
+    return;
+  }
+  const std::vector<endpoint> chosen = addresses_for(*question);
+  if (chosen.empty()) {
+    asked->respond({.status = status_unavailable});
+    return;
+  }
+  counts.add(count::address_answers);
+  asked->respond(
+      {.status = status_ok,
+       .headers = {{"Content-Type", "application/json"}},
+       .body = words.write_addresses(
+           chosen, std::min(address_keep, values.longest_keep))});
+}
+
+void daemon::state::serve_readiness(
+    const std::shared_ptr<http::exchange>& asked) {
+  if (!words.asks_readiness(asked->request())) {
+    asked->respond({.status = status_not_found});
+    return;
+  }
+  asked->respond({.status = ready() ? status_ok : status_unavailable});
+}
+
+void daemon::state::serve(std::shared_ptr<http::exchange> asked) {
+  counts.add(count::requests);
+  if (stopping) {
+    quiet_at = std::max(quiet_at, steady_clock::now() + stop_margin);
+  }
+  if (!fleet.ready()) {
+    counts.add(count::not_ready);
+    asked->respond({.status = status_unavailable,
+                    .headers = {{"Retry-After", "0.3"}}});
+    return;
+  }
+  caller_facts facts = words.read_caller(asked->request());
+  if (facts.request_id.empty()) {
+    asked->respond({.status = status_bad_request});
+    return;
+  }
+  const routes::table_ptr table = fleet.table();
+  const routes::route* route = table->find(facts.host, asked->request().target);
+  if (route == nullptr) {
+    counts.add(count::no_route);
+    const time_point now = steady_clock::now();
+    if (log.admits(now, true)) {
+      log.write("no_route", {{"request", facts.request_id},
+                             {"host", facts.host},
+                             {"version", table->version()}});
+    }
+    asked->respond({.status = status_not_found});
+    return;
+  }
+  std::vector<std::string> services =
+      route->gathers()
+          ? route->shards
+          : std::vector{splits[route->name].next(route->split).service};
+  std::make_shared<request_run>(traffic, std::move(asked), std::move(facts),
+                                table, *route, std::move(services))
+      ->start();
+}
+
+void daemon::state::await_signal() {
+  signals.async_wait([this](const auto& cancelled, int number) {
+    if (cancelled) return;
+    on_signal(number);
+    await_signal();
+  });
+}
+
+void daemon::state::on_signal(int number) {
+  if (number == SIGHUP) {
+    const auto fresh = reread ? reread() : std::nullopt;
+    log.write("reloaded", {{"usable", fresh.has_value()}});
+    return;
+  }
+  if (!stopping) begin_stop();
+}
+
+// Callers may still use addresses that they were given until now, so requests
+// are served while this daemon is named nowhere any more.
+void daemon::state::begin_stop() {
+  stopping = true;
+  const time_point now = steady_clock::now();
+  stop_at = now + values.stop_within - stop_margin;
+  quiet_at = std::min(
+      now + std::min(address_keep, values.longest_keep) * keep_factor +
+          stop_margin,
+      stop_at - stop_margin);
+  log.write("stopping", {{"within", values.stop_within},
+                         {"running", callers->running()}});
+  callers->drain();
+  take_members(members->leave(now, member_state::leaving));
+  await_end();
+}
+
+void daemon::state::await_end() {
+  const time_point now = steady_clock::now();
+  const bool quiet = now >= quiet_at && callers->running() == 0;
+  if (quiet || now >= stop_at) {
+    log.write("stopped", {{"running", callers->running()}});
+    take_members(members->leave(now, member_state::left));
+    log.flush();
+    timers.after(stop_poll, [this] { loop.stop(); });
+    return;
+  }
+  if (now >= quiet_at) callers->close_idle();
+  timers.after(stop_poll, [this] { await_end(); });
+}
+
+daemon::daemon(settings values, adapter words)
+    : state_(std::make_unique<state>(std::move(values), std::move(words))) {}
+
+daemon::~daemon() = default;
+
+void daemon::on_reload(std::function<std::optional<settings>()> reread) {
+  state_->reread = std::move(reread);
+}
+
+result<void, tier_error> daemon::run() {
+  if (auto began = state_->start(); !began) return began.error();
+  state_->loop.run();
+  return outcome::success();
+}
+
+}  // namespace medlarloft::tier
--- /dev/null
+++ b/packages/tier/src/figures.cpp
@@ -0,0 +1,39 @@
+#include "figures.hpp"
+
+namespace medlarloft::tier {
+namespace {
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(count::counts_end)>
+    names{"requests",        "answered_whole", "answered_partial",
+          "refused_not_run", "failed",         "out_of_time",
+          "callers_left",    "no_route",       "not_ready",
+          "leaf_requests",   "hedges",         "retries",
+          "budget_empty",    "connections_opened", "store_calls",
+          "peer_bytes",      "address_answers"};
+
+}  // namespace
+
+std::string_view name_of(count which) noexcept {
+  return names[static_cast<std::size_t>(which)];
+}
+
+std::string figures::text(std::string_view daemon) const {
+  const std::string label = "{daemon=\"" + std::string(daemon) + "\"";
+  std::string out;
+  for (std::size_t i = 0; i < counts_.size(); ++i) {
+    const std::string name = "medlarloft_" + std::string(names[i]) + "_total";
+    out += "# TYPE " + name + " counter\n" + name + label + "} " +
+           std::to_string(counts_[i]) + "\n";
+  }
+  out += "# TYPE medlarloft_leaf_endings_total counter\n";
+  for (std::size_t i = 0; i < endings_.size(); ++i) {
+    const auto how = static_cast<leafs::ending>(i);
+    out += "medlarloft_leaf_endings_total" + label + ",ending=\"" +
+           std::string(leafs::name_of(how)) + "\"} " +
+           std::to_string(endings_[i]) + "\n";
+  }
+  return out + metrics::latency_text(metrics::merge({&latencies_}), daemon);
+}
+
+}  // namespace medlarloft::tier
--- /dev/null
+++ b/packages/tier/src/peer_link.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+/// Carries the messages of daemons to each other: small ones as datagrams,
+/// large ones over a connection of their own.
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "medlarloft/loop.hpp"
+#include "medlarloft/membership.hpp"
+#include "medlarloft/tier.hpp"
+
+namespace medlarloft::tier {
+
+class peer_link : public std::enable_shared_from_this<peer_link> {
+ public:
+  using received = std::function<void(const membership::message&)>;
+
+  peer_link(http::io_context& io, loop::timer_queue& timers, endpoint self,
+            received told);
+
+  result<void, tier_error> start();
+  void send(const endpoint& to, const membership::message& message);
+  void close();
+  std::uint64_t sent_bytes() const noexcept { return sent_bytes_; }
+
+ private:
+  void receive_datagram();
+  void accept();
+  void take(std::string_view bytes);
+  void send_large(const endpoint& to, std::string bytes);
+
+  struct incoming;
+  struct outgoing;
+
+  http::io_context& loop_;
+  loop::timer_queue& timers_;
+  endpoint self_;
+  received told_;
+  boost::asio::ip::udp::socket datagrams_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::udp::endpoint from_;
+  std::string datagram_;
+  std::uint64_t sent_bytes_ = 0;
+  std::size_t open_incoming_ = 0;
+};
+
+}  // namespace medlarloft::tier
--- /dev/null
+++ b/packages/tier/src/request_run.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+/// One request of a caller in this process: the decisions of `execution`
+/// carried out on connections, and its answer.
+
+#include <memory>
+#include <unordered_map>
+
+#include "event_log.hpp"
+#include "figures.hpp"
+#include "leaf_pool.hpp"
+#include "medlarloft/tier.hpp"
+
+namespace medlarloft::tier {
+
+/// What all requests of a daemon share.
+struct traffic_context {
+  loop::timer_queue& timers;
+  const adapter& words;
+  leafs::leaf_set& leafs;
+  leaf_pool& pool;
+  fanout::retry_budget& budget;
+  event_log& log;
+  figures& counts;
+  leafs::attempt_id next_attempt = 0;
+};
+
+class request_run : public std::enable_shared_from_this<request_run> {
+ public:
+  /// `table` keeps the version alive under which the request began.
+  request_run(traffic_context& context, std::shared_ptr<http::exchange> asked,
+              caller_facts facts, routes::table_ptr table,
+              const routes::route& route, std::vector<std::string> services);
+
+  void start();
+
+ private:
+  struct open_attempt {
+    leafs::leaf_handle leaf = 0;
+    leaf_pool::call call;
+    time_point sent_at;
+    bool abandoned = false;
+    loop::timer_queue::handle give_up;
+  };
+
+  fanout::hooks choices();
+  void carry_out(fanout::actions wanted);
+  void send(const fanout::send_action& wanted);
+  void abandon(const fanout::abandon_action& wanted);
+  void on_result(leafs::attempt_id attempt, leaf_result result);
+  void on_timer();
+  void finish(const fanout::final_outcome& done);
+  http::message answer_for(const fanout::final_outcome& done) const;
+  void log_end(const fanout::final_outcome& done, int status);
+
+  traffic_context& context_;
+  std::shared_ptr<http::exchange> asked_;
+  caller_facts facts_;
+  routes::table_ptr table_;
+  const routes::route& route_;
+  time_point began_;
+  /// Until then the caller waits; leafs are told what is left of it.
+  time_point caller_deadline_;
+  fanout::execution execution_;
+  std::unordered_map<leafs::attempt_id, open_attempt> attempts_;
+  loop::timer_queue::handle timer_;
+};
+
+}  // namespace medlarloft::tier
--- /dev/null
+++ b/packages/tier/src/settings.cpp
@@ -0,0 +1,138 @@
+#include <nlohmann/json.hpp>
+
+#include "medlarloft/tier.hpp"
+
+namespace medlarloft::tier {
+namespace {
+
+using documents::document_errc;
+using documents::document_error;
+using nlohmann::json;
+
+// Reads values by their dotted path; the first problem is kept.
+class path_reader {
+ public:
+  explicit path_reader(const json& root) : root_(root) {}
+
+  void read(const std::string& path, std::string& into) {
+    const json* value = find(path);
+    if (value == nullptr) return;
+    if (!value->is_string() || value->get_ref<const std::string&>().empty()) {
+      fail(path, *value, "is not a text");
+      return;
+    }
+    into = value->get<std::string>();
+  }
+
+  void read(const std::string& path, endpoint& into) {
+    std::string text;
+    read(path, text);
+    if (text.empty()) return;
+    const auto parsed = parse_endpoint(text);
+    if (parsed) {
+      into = parsed.value();
+    } else {
+      fail(path, text, "is not an IP address and port");
+    }
+  }
+
+  void read(const std::string& path, duration& into) {
+    std::string text;
+    read(path, text);
+    if (text.empty()) return;
+    const auto parsed = parse_duration(text);
+    if (parsed && parsed.value() > duration::zero()) {
+      into = parsed.value();
+    } else {
+      fail(path, text, "is not a positive duration with a unit");
+    }
+  }
+
+  void read(const std::string& path, double& into) {
+    const json* value = find(path);
+    if (value == nullptr) return;
+    if (!value->is_number() || value->get<double>() < 0) {
+      fail(path, *value, "is not a number of 0 or more");
+      return;
+    }
+    into = value->get<double>();
+  }
+
+  void read(const std::string& path, std::vector<endpoint>& into) {
+    const json* value = find(path);
+    if (value == nullptr) return;
+    if (!value->is_array()) {
+      fail(path, *value, "is not a list");
+      return;
+    }
+    for (std::size_t i = 0; i < value->size(); ++i) {
+      const json& each = value->at(i);
+      const auto parsed =
+          parse_endpoint(each.is_string() ? each.get<std::string>() : "");
+      if (parsed) {
+        into.push_back(parsed.value());
+      } else {
+        fail(path + "." + std::to_string(i), each,
+             "is not an IP address and port");
+      }
+    }
+  }
+
+  const std::optional<document_error>& problem() const { return problem_; }
+
+ private:
+  const json* find(const std::string& path) {
+    const json* at = &root_;
+    for (std::size_t begin = 0; begin <= path.size();) {
+      const std::size_t end = std::min(path.find('.', begin), path.size());
+      const std::string name = path.substr(begin, end - begin);
+      if (!at->is_object() || !at->contains(name)) {
+        fail(path, json(), "is missing");
+        return nullptr;
+      }
+      at = &at->at(name);
+      begin = end + 1;
+    }
+    return at;
+  }
+
+  void fail(const std::string& path, const json& value, std::string reason) {
+    if (problem_) return;
+    problem_ = document_error{document_errc::value, path,
+                              documents::excerpt(value), std::move(reason)};
+  }
+
+  const json& root_;
+  std::optional<document_error> problem_;
+};
+
+}  // namespace
+
+documents::document_result<settings> read_settings(std::string_view text) {
+  const auto document = documents::parse(text);
+  if (!document) return document.error();
+  path_reader from(document.value());
+  settings values;
+  from.read("id", values.id);
+  from.read("data_centre", values.data_centre);
+  from.read("region", values.region);
+  from.read("listen.callers", values.listen.callers);
+  from.read("listen.readiness", values.listen.readiness);
+  from.read("listen.addresses", values.listen.addresses);
+  from.read("listen.control", values.listen.control);
+  from.read("listen.metrics", values.listen.metrics);
+  from.read("seeds", values.seeds);
+  from.read("store", values.store);
+  from.read("retries.ratio", values.retries.ratio);
+  from.read("retries.window", values.retries.window);
+  from.read("retries.slack", values.retries.slack);
+  from.read("stop_within", values.stop_within);
+  from.read("longest_keep", values.longest_keep);
+  double descriptors = 0;
+  from.read("max_descriptors", descriptors);
+  if (from.problem()) return *from.problem();
+  values.max_descriptors = static_cast<std::size_t>(descriptors);
+  return values;
+}
+
+}  // namespace medlarloft::tier
--- /dev/null
+++ b/packages/tier/src/store_reader.cpp
@@ -0,0 +1,175 @@
+#include "store_reader.hpp"
+
+namespace medlarloft::tier {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_gone = 410;
+/// Answers of the store are far below this.
+constexpr std::size_t max_answer_bytes = std::size_t{16} << 20;
+
+}  // namespace
+
+store_reader::store_reader(http::io_context& io, loop::timer_queue& timers,
+                           options settings, const adapter& words, hooks told)
+    : loop_(io),
+      timers_(timers),
+      options_(std::move(settings)),
+      words_(words),
+      hooks_(std::move(told)),
+      random_(options_.seed),
+      backoff_(options_.first_backoff) {}
+
+store_reader::~store_reader() {
+  *alive_ = false;
+  timers_.cancel(timer_);
+  if (connection_) connection_->close();
+}
+
+void store_reader::start() {
+  next();
+}
+
+void store_reader::doubt() {
+  if (timer_.number != 0 || !connection_) return;
+  connection_->close();
+}
+
+void store_reader::next() {
+  if (!listed_) {
+    const std::string_view after =
+        pages_.empty() ? std::string_view{} : pages_.back().key;
+    call(words_.listing_target(after), options_.call_timeout);
+    return;
+  }
+  call(words_.changes_target(cursor_, options_.longest_wait),
+       options_.longest_wait + options_.call_timeout);
+}
+
+void store_reader::call(std::string target, duration timeout) {
+  if (connection_ && connection_->usable()) {
+    send(target, timeout);
+    return;
+  }
+  connection_ = http::connection::make(
+      loop_, timers_,
+      {.to = options_.store,
+       .from_ip = options_.from_ip,
+       .connect_timeout = options_.call_timeout / 3,
+       .max_answer_bytes = max_answer_bytes});
+  connection_->open([this, alive = alive_, target = std::move(target),
+                     timeout](bool ok, duration) {
+    if (!*alive) return;
+    if (ok) {
+      send(target, timeout);
+    } else {
+      failed("cannot connect");
+    }
+  });
+}
+
+void store_reader::send(const std::string& target, duration timeout) {
+  ++calls_;
+  const http::message request{
+      .method = "GET",
+      .target = target,
+      .headers = {{"Host", format_endpoint(options_.store)}}};
+  timer_ = timers_.after(timeout, [this] {
+    timer_ = {};
+    connection_->close();
+  });
+  connection_->exchange(
+      http::to_request_text(request), request.method, nullptr,
+      [this, alive = alive_](const http::exchange_result& got) {
+        if (!*alive) return;
+        timers_.cancel(timer_);
+        on_answer(got);
+      });
+}
+
+void store_reader::on_answer(const http::exchange_result& got) {
+  if (!got) {
+    failed("connection lost or silent");
+    return;
+  }
+  const http::message& answer = got.value().answer;
+  if (answer.status == status_gone) {
+    listed_ = false;
+    pages_.clear();
+    succeeded();
+    next();
+    return;
+  }
+  if (answer.status != status_ok) {
+    failed("status " + std::to_string(answer.status));
+    return;
+  }
+  if (!listed_) {
+    const auto page = words_.read_listing(answer.body);
+    if (page) {
+      on_page(page.value());
+    } else {
+      failed(page.error().text);
+    }
+    return;
+  }
+  const auto page = words_.read_changes(answer.body);
+  if (!page) {
+    failed(page.error().text);
+    return;
+  }
+  succeeded();
+  cursor_ = std::max(cursor_, page.value().upto);
+  hooks_.changes(page.value().changes, page.value().upto);
+  if (page.value().changes.empty()) {
+    next();
+  } else {
+    after(options_.gather_pause);
+  }
+}
+
+void store_reader::on_page(const listing_page& page) {
+  succeeded();
+  if (pages_.empty()) listing_from_ = page.upto;
+  pages_.insert(pages_.end(), page.records.begin(), page.records.end());
+  if (page.more && !page.records.empty()) {
+    next();
+    return;
+  }
+  listed_ = true;
+  cursor_ = listing_from_;
+  hooks_.listing(std::exchange(pages_, {}), listing_from_);
+  next();
+}
+
+void store_reader::succeeded() {
+  backoff_ = options_.first_backoff;
+  if (std::exchange(answers_, true) && told_) return;
+  told_ = true;
+  hooks_.reachable(true, "answers");
+}
+
+// A connection that is lost while the store answers is opened again at once;
+// only when that fails, too, the store counts as away.
+void store_reader::failed(const std::string& reason) {
+  if (connection_) connection_->close();
+  connection_.reset();
+  if (!listed_) pages_.clear();
+  if (std::exchange(answers_, false) || !told_) {
+    told_ = true;
+    hooks_.reachable(false, reason);
+  }
+  const duration pause = backoff_ / 2 + random_.below(backoff_ / 2);
+  backoff_ = std::min(backoff_ * 2, options_.longest_backoff);
+  after(pause);
+}
+
+void store_reader::after(duration delay) {
+  timers_.cancel(timer_);
+  timer_ = timers_.after(delay, [this] {
+    timer_ = {};
+    next();
+  });
+}
+
+}  // namespace medlarloft::tier
