leafs, tier: a gather waits for a busy shard; connections divided without a reserve

Ruled out: an empty retry budget (budget_empty=false on all), no live leaf. Change: share = connections / daemons; a gather waits until it must answer; part_missing lines name leaf, obstacle and budget.

--- a/packages/fanout/include/medlarloft/fanout.hpp
+++ b/packages/fanout/include/medlarloft/fanout.hpp
@@ -121,11 +121,26 @@
 };
 std::string_view name_of(verdict what) noexcept;
 
+/// Why a part is not in the answer.
+struct missing_part {
+  std::size_t shard = 0;
+  /// Requests that were sent for it.
+  std::uint32_t sends = 0;
+  /// Of these, the leafs that had not answered.
+  std::vector<leaf_handle> silent;
+  /// Why no other leaf was asked.
+  no_leaf obstacle{};
+  bool budget_empty = false;
+  /// How the last request that ended had ended.
+  std::optional<ending> last_ending;
+};
+
 struct final_outcome {
   verdict what{};
   /// One answer, or one for each part that is included.
   std::vector<leaf_answer> answers;
   std::uint32_t missing_parts = 0;
+  std::vector<missing_part> missing;
   /// What decided the outcome, for logs.
   std::string_view reason;
   /// When a refused caller should come back.
@@ -198,6 +213,8 @@
     bool may_have_run = false;
     bool given_up = false;
     no_leaf obstacle{};
+    bool budget_empty = false;
+    std::optional<ending> last_ending;
   };
 
   bool try_send(time_point now, std::size_t index, attempt_kind kind);
--- a/packages/fanout/src/execution.cpp
+++ b/packages/fanout/src/execution.cpp
@@ -135,7 +135,10 @@
     return false;
   }
   const bool extra = shard.sends > 0 && !shard.asked.empty();
-  if (extra && !hooks_.take_extra(request_.services[index])) return false;
+  if (extra && !hooks_.take_extra(request_.services[index])) {
+    shard.budget_empty = true;
+    return false;
+  }
   send(now, index, leaf.value(), kind);
   return true;
 }
@@ -179,6 +182,7 @@
       std::erase(shard.asked, leaf);
       shard.unreachable.push_back(leaf);
     }
+    shard.last_ending = how;
     if (!surely_not_run(how)) shard.may_have_run = true;
     if (answer) shard.failure = std::move(answer);
     after_failure(now, i, how);
@@ -288,16 +292,25 @@
   finished_ = true;
   final_outcome done{.what = what, .reason = reason};
   bool busy = false;
-  for (shard_state& shard : shards_) {
-    for (const attempt& open : shard.open)
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    shard_state& shard = shards_[i];
+    missing_part missing{.shard = i,
+                         .sends = shard.sends,
+                         .obstacle = shard.obstacle,
+                         .budget_empty = shard.budget_empty,
+                         .last_ending = shard.last_ending};
+    for (const attempt& open : shard.open) {
       pending_.abandons.push_back({open.id, open.leaf});
+      missing.silent.push_back(open.leaf);
+    }
     shard.open.clear();
     if (shard.answer) {
       done.answers.push_back(std::move(*shard.answer));
-    } else {
-      ++done.missing_parts;
-      busy = busy || shard.obstacle == no_leaf::all_busy;
+      continue;
     }
+    ++done.missing_parts;
+    busy = busy || shard.obstacle == no_leaf::all_busy;
+    done.missing.push_back(std::move(missing));
   }
   const bool single = !request_.route->gathers();
   if (single && what == verdict::answered && done.answers.empty()) {
--- a/packages/leafs/include/medlarloft/leafs.hpp
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -103,9 +103,6 @@
     duration longest_ejection = std::chrono::seconds(2);
     /// Expected work until something was measured.
     duration first_guess = std::chrono::milliseconds(20);
-    /// Share of a leaf's connections that daemons use; the rest is reserve for
-    /// connections that a leaf still counts.
-    double connection_share = 0.9;
     /// Requests to a cold leaf that all daemons may begin at once.
     std::uint32_t cold_burst = 5;
   };
--- a/packages/leafs/src/leaf_set.cpp
+++ b/packages/leafs/src/leaf_set.cpp
@@ -108,11 +108,7 @@
 std::size_t leaf_set::connections(const std::string& service) const {
   const auto found = limits_.find(service);
   if (found == limits_.end()) return 1;
-  const double all =
-      found->second.max_connections * options_.connection_share;
-  const auto share =
-      static_cast<std::size_t>(all / static_cast<double>(daemons_));
-  return std::max<std::size_t>(share, 1);
+  return std::max<std::size_t>(found->second.max_connections / daemons_, 1);
 }
 
 duration leaf_set::work_time(const std::string& work) const {
--- a/packages/tier/src/request_run.cpp
+++ b/packages/tier/src/request_run.cpp
@@ -16,7 +16,8 @@
 constexpr duration answer_reserve = std::chrono::milliseconds(15);
 /// The last answer leaves before the caller stops waiting.
 constexpr duration deadline_reserve = std::chrono::milliseconds(4);
-/// A request waits for a free leaf for at most this part of its objective.
+/// A single request waits for a free leaf for at most this part of its
+/// objective.
 constexpr int wait_part = 4;
 /// An answer that is not needed any more is still read for so long, which
 /// keeps the connection and tells how the leaf does.
@@ -26,6 +27,14 @@
 constexpr duration caller_left_drain = std::chrono::milliseconds(250);
 constexpr duration default_wait = std::chrono::seconds(10);
 
+// A gather may wait until it must answer without the part; a single request is
+// refused while its caller can still be served elsewhere.
+duration longest_wait(const routes::route& route, duration whole) {
+  if (route.gathers()) return whole;
+  const bool timed = route.objective > duration::zero();
+  return (timed ? route.objective : whole) / wait_part;
+}
+
 fanout::request plan(const routes::route& route, std::string id,
                      std::vector<std::string> services, time_point began,
                      time_point caller_deadline) {
@@ -44,8 +53,7 @@
                                             answer_reserve,
                                         deadline)
                              : deadline,
-          .longest_wait = timed ? route.objective / wait_part
-                                : (deadline - began) / wait_part};
+          .longest_wait = longest_wait(route, deadline - began)};
 }
 
 std::string seconds_text(duration value) {
@@ -292,12 +300,35 @@
   log_end(done, status);
 }
 
+void request_run::log_missing(const fanout::missing_part& part) {
+  std::string silent;
+  const time_point now = steady_clock::now();
+  for (const leafs::leaf_handle leaf : part.silent) {
+    if (!silent.empty()) silent += ',';
+    silent += context_.leafs.find(leaf)->id + "@" +
+              context_.leafs.find(leaf)->data_centre + "/" +
+              format_duration(std::chrono::floor<std::chrono::microseconds>(
+                  context_.leafs.expected(now, leaf, route_.name)));
+  }
+  context_.log.write(
+      "part_missing",
+      {{"request", facts_.request_id},
+       {"service", execution_.asked().services[part.shard]},
+       {"sends", part.sends},
+       {"silent", silent},
+       {"obstacle", leafs::name_of(part.obstacle)},
+       {"budget_empty", part.budget_empty},
+       {"last_ending",
+        part.last_ending ? leafs::name_of(*part.last_ending) : "none"}});
+}
+
 void request_run::log_end(const fanout::final_outcome& done, int status) {
   const time_point now = steady_clock::now();
   const bool well = done.what == fanout::verdict::answered &&
                     done.missing_parts == 0 && now <= execution_.asked().answer_by;
   if (!context_.log.admits(now, !well)) return;
   const fanout::tally& tally = execution_.tally();
+  for (const fanout::missing_part& part : done.missing) log_missing(part);
   context_.log.write("request_ended",
                      {{"request", facts_.request_id},
                       {"route", route_.name},
--- a/packages/tier/src/request_run.hpp
+++ b/packages/tier/src/request_run.hpp
@@ -51,6 +51,7 @@
   void on_timer();
   void finish(const fanout::final_outcome& done);
   http::message answer_for(const fanout::final_outcome& done) const;
+  void log_missing(const fanout::missing_part& part);
   void log_end(const fanout::final_outcome& done, int status);
 
   traffic_context& context_;
