tier: a few daemons read the store for all; tests of the new packages

Change: watch_duty ranks one reader in each data centre, three at least; the others hear by the tree of packages/membership and its anti-entropy, with the age of the last answer of the store in every message; without word for 4.5 s a daemon reads itself. A daemon that starts hears others first. Ruled out: lost messages between daemons (60 of 60 had the version 0.6 s after the first).

--- /dev/null
+++ b/packages/fanout/tests/records_test.cpp
@@ -0,0 +1,57 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+#include "medlarloft/fanout.hpp"
+
+namespace medlarloft::fanout {
+namespace {
+
+std::string record(char first) {
+  return std::string(1, first) + std::string(record_bytes - 1, '.');
+}
+
+TEST(greatest_records, merges_the_greatest_of_all_parts_falling) {
+  EXPECT_EQ(greatest_records({{.body = record('b') + record('d')},
+                              {.body = record('c') + record('a')}},
+                             3),
+            record('d') + record('c') + record('b'));
+}
+
+TEST(greatest_records, compares_bytes_without_a_sign) {
+  EXPECT_EQ(greatest_records({{.body = record('z') + record('\xff')}}, 1),
+            record('\xff'));
+}
+
+TEST(greatest_records, keeps_equal_records) {
+  EXPECT_EQ(greatest_records({{.body = record('a')}, {.body = record('a')}}, 5),
+            record('a') + record('a'));
+}
+
+TEST(greatest_records, ignores_a_remainder) {
+  EXPECT_EQ(greatest_records({{.body = record('a') + "short"}}, 5),
+            record('a'));
+}
+
+TEST(greatest_records, equals_a_full_sort) {
+  rc::check([](const std::vector<std::string>& bodies, std::uint8_t limit) {
+    std::vector<leaf_answer> parts;
+    std::vector<std::string> all;
+    for (const std::string& body : bodies) {
+      parts.push_back({.body = body});
+      for (std::size_t at = 0; at + record_bytes <= body.size();
+           at += record_bytes)
+        all.push_back(body.substr(at, record_bytes));
+    }
+    std::ranges::sort(all, std::greater<>{});
+    all.resize(std::min<std::size_t>(all.size(), limit));
+    std::string expected;
+    for (const std::string& each : all)
+      expected += each;
+    RC_ASSERT(greatest_records(parts, limit) == expected);
+  });
+}
+
+}  // namespace
+}  // namespace medlarloft::fanout
--- /dev/null
+++ b/packages/fanout/tests/retry_budget_test.cpp
@@ -0,0 +1,88 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "medlarloft/fanout.hpp"
+
+namespace medlarloft::fanout {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point start = time_point{} + std::chrono::hours(1);
+
+TEST(retry_budget, allows_a_share_of_the_requests) {
+  retry_budget budget({.ratio = 0.2, .slack = 0, .used_part = 1.0});
+  for (int i = 0; i < 100; ++i)
+    budget.request(start, "s");
+  int taken = 0;
+  while (budget.take(start, "s"))
+    ++taken;
+  EXPECT_EQ(taken, 20);
+}
+
+TEST(retry_budget, divides_the_slack_by_the_daemons) {
+  retry_budget budget(
+      {.ratio = 0.2, .slack = 54, .daemons = 9, .used_part = 1.0});
+  int taken = 0;
+  while (budget.take(start, "s"))
+    ++taken;
+  EXPECT_EQ(taken, 6);
+}
+
+TEST(retry_budget, services_have_budgets_of_their_own) {
+  retry_budget budget({.ratio = 0, .slack = 1, .used_part = 1.0});
+  EXPECT_TRUE(budget.take(start, "a"));
+  EXPECT_FALSE(budget.take(start, "a"));
+  EXPECT_TRUE(budget.take(start, "b"));
+}
+
+TEST(retry_budget, what_was_taken_returns_after_a_window) {
+  retry_budget budget({.ratio = 0, .slack = 1, .used_part = 1.0});
+  EXPECT_TRUE(budget.take(start, "a"));
+  EXPECT_FALSE(budget.take(start + seconds(9), "a"));
+  EXPECT_TRUE(budget.take(start + seconds(11), "a"));
+}
+
+// Differential: whatever the traffic of all daemons, no window of the naive
+// count holds more extras than the users' limit.
+TEST(retry_budget, no_window_of_all_daemons_exceeds_the_limit) {
+  rc::check([] {
+    constexpr std::size_t daemons = 3;
+    constexpr double ratio = 0.2;
+    constexpr double slack = 12;
+    std::vector<retry_budget> all(
+        daemons,
+        retry_budget({.ratio = ratio, .slack = slack, .daemons = daemons}));
+    std::vector<time_point> requests;
+    std::vector<time_point> extras;
+    time_point now = start;
+    const auto steps = *rc::gen::inRange(1, 200);
+    for (int i = 0; i < steps; ++i) {
+      now += milliseconds(*rc::gen::inRange(0, 400));
+      const auto who = *rc::gen::inRange<std::size_t>(0, daemons);
+      if (*rc::gen::arbitrary<bool>()) {
+        all[who].request(now, "s");
+        requests.push_back(now);
+      } else if (all[who].take(now, "s")) {
+        extras.push_back(now);
+      }
+    }
+    const auto in_window = [](const std::vector<time_point>& all_times,
+                              time_point end) {
+      return std::ranges::count_if(all_times, [end](time_point at) {
+        return at > end - seconds(10) && at <= end;
+      });
+    };
+    for (const time_point end : extras) {
+      RC_ASSERT(static_cast<double>(in_window(extras, end)) <=
+                ratio * static_cast<double>(in_window(requests, end)) + slack);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace medlarloft::fanout
--- /dev/null
+++ b/packages/leafs/tests/leaf_set_test.cpp
@@ -0,0 +1,179 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+
+#include "medlarloft/leafs.hpp"
+
+namespace medlarloft::leafs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point start = time_point{} + std::chrono::hours(1);
+
+registration leaf(std::string id, std::string data_centre = "near") {
+  return {.id = std::move(id),
+          .service = "s",
+          .address = {"10.0.0.1", 80},
+          .data_centre = std::move(data_centre),
+          .slots = 4};
+}
+
+class leaf_set_test : public ::testing::Test {
+ protected:
+  leaf_set_test() { set.set_limits("s", {.max_connections = 40}); }
+
+  /// Sends one request and ends it.
+  void run(time_point at, leaf_handle where, duration took,
+           ending how = ending::answered) {
+    set.sent(at, where, ++attempt, "w");
+    set.ended(at + took, where, attempt, how);
+  }
+
+  leaf_set set{{.data_centre = "near"}, 7};
+  attempt_id attempt = 0;
+};
+
+TEST_F(leaf_set_test, prefers_the_near_data_centre) {
+  set.put(start, leaf("a", "far"));
+  const leaf_handle near = set.put(start, leaf("b"));
+  for (int i = 0; i < 50; ++i)
+    EXPECT_EQ(set.pick(start, "s", "w").value(), near);
+}
+
+TEST_F(leaf_set_test, gives_nothing_to_a_draining_leaf) {
+  registration draining = leaf("a");
+  draining.draining = true;
+  set.put(start, draining);
+  EXPECT_EQ(set.pick(start, "s", "w").error(), no_leaf::none_registered);
+}
+
+TEST_F(leaf_set_test, gives_nothing_to_a_data_centre_that_is_out) {
+  const leaf_handle far = set.put(start, leaf("a", "far"));
+  set.put(start, leaf("b"));
+  set.set_out({"near"});
+  EXPECT_EQ(set.pick(start, "s", "w").value(), far);
+  set.set_out({"near", "far"});
+  EXPECT_FALSE(set.pick(start, "s", "w"));
+}
+
+TEST_F(leaf_set_test, another_start_under_the_same_id_knows_nothing_of_before) {
+  const leaf_handle first = set.put(start, leaf("a"));
+  run(start, first, milliseconds(5), ending::no_connection);
+  EXPECT_EQ(set.pick(start, "s", "w").error(), no_leaf::all_dark);
+  registration again = leaf("a");
+  again.started_at = 2;
+  const leaf_handle second = set.put(start, again);
+  EXPECT_NE(second, first);
+  EXPECT_EQ(set.pick(start, "s", "w").value(), second);
+  EXPECT_FALSE(set.usable(first));
+}
+
+// Pattern: a leaf pauses. While a request is open for longer than usual, the
+// next ones go elsewhere; after the pause the leaf is used again at once.
+TEST_F(leaf_set_test, a_pausing_leaf_is_left_alone_until_it_answers) {
+  const leaf_handle near = set.put(start, leaf("a"));
+  const leaf_handle far = set.put(start, leaf("b", "far"));
+  time_point now = start;
+  for (int i = 0; i < 50; ++i, now += milliseconds(20))
+    run(now, near, milliseconds(6));
+  set.sent(now, near, 1000, "w");
+  EXPECT_EQ(set.pick(now + milliseconds(5), "s", "w").value(), near);
+  EXPECT_EQ(set.pick(now + milliseconds(70), "s", "w").value(), far);
+  set.ended(now + milliseconds(200), near, 1000, ending::answered);
+  EXPECT_EQ(set.pick(now + milliseconds(201), "s", "w").value(), near);
+}
+
+// Pattern: a leaf turns several times slower. Two slow answers of requests
+// that did not wait for one pause are enough.
+TEST_F(leaf_set_test, a_slow_leaf_loses_its_work_after_two_answers) {
+  const leaf_handle near = set.put(start, leaf("a"));
+  const leaf_handle far = set.put(start, leaf("b", "far"));
+  time_point now = start;
+  for (int i = 0; i < 50; ++i, now += milliseconds(20))
+    run(now, near, milliseconds(6));
+  run(now, near, milliseconds(60));
+  run(now + milliseconds(70), near, milliseconds(60));
+  EXPECT_EQ(set.pick(now + milliseconds(140), "s", "w").value(), far);
+  EXPECT_EQ(set.pick(now + seconds(10), "s", "w").value(), near);
+}
+
+// Pattern: a leaf is dark. It gets one trial at a time, further and further
+// apart, until one succeeds.
+TEST_F(leaf_set_test, a_failing_leaf_gets_trials_only) {
+  const leaf_handle only = set.put(start, leaf("a"));
+  run(start, only, milliseconds(1), ending::lost);
+  EXPECT_TRUE(set.pick(start + milliseconds(2), "s", "w"));
+  run(start + milliseconds(2), only, milliseconds(1), ending::lost);
+  EXPECT_EQ(set.obstacle(start + milliseconds(4), "s"), no_leaf::all_dark);
+  const time_point due = start + milliseconds(260);
+  EXPECT_FALSE(set.obstacle(due, "s"));
+  set.sent(due, only, 99, "w");
+  EXPECT_EQ(set.pick(due, "s", "w").error(), no_leaf::all_dark);
+  set.ended(due + milliseconds(5), only, 99, ending::answered);
+  EXPECT_TRUE(set.pick(due + milliseconds(6), "s", "w"));
+}
+
+// Pattern: leafs shed a part of their requests while they are healthy. The
+// ones that do not are preferred.
+TEST_F(leaf_set_test, a_leaf_that_sheds_is_avoided) {
+  const leaf_handle sheds = set.put(start, leaf("a"));
+  const leaf_handle sound = set.put(start, leaf("b"));
+  time_point now = start;
+  for (int i = 0; i < 20; ++i, now += milliseconds(30)) {
+    run(now, sheds, milliseconds(1), i % 2 ? ending::shed : ending::answered);
+    run(now, sound, milliseconds(6));
+  }
+  for (int i = 0; i < 20; ++i)
+    EXPECT_EQ(set.pick(now, "s", "w").value(), sound);
+}
+
+TEST_F(leaf_set_test, holds_no_more_connections_than_its_share) {
+  set.set_daemons(20, nullptr);
+  const leaf_handle only = set.put(start, leaf("a"));
+  EXPECT_EQ(set.connections("s"), 2U);
+  set.sent(start, only, 1, "w");
+  set.sent(start, only, 2, "w");
+  EXPECT_EQ(set.pick(start, "s", "w").error(), no_leaf::all_busy);
+}
+
+// Pattern: cold leafs. Whatever all daemons want, in no second they send a
+// cold leaf more than the users' bound, 1.5 times its rate and 5 more.
+TEST(leaf_set_cold, all_daemons_together_keep_the_bound_of_a_cold_leaf) {
+  rc::check([] {
+    const auto daemons = *rc::gen::inRange<std::size_t>(1, 70);
+    const double rate = *rc::gen::inRange(1, 40);
+    std::vector<leaf_set> all;
+    for (std::size_t i = 0; i < daemons; ++i) {
+      all.emplace_back(leaf_set::options{.data_centre = "near"}, i);
+      all.back().set_daemons(daemons, [i](std::string_view) { return i; });
+      all.back().set_limits("s", {.max_connections = 1000, .cold_rate = rate});
+      registration cold = leaf("a");
+      cold.cold_left = seconds(10);
+      all.back().put(start, cold);
+    }
+    std::vector<time_point> sends;
+    attempt_id id = 0;
+    for (time_point now = start; now < start + seconds(3);
+         now += milliseconds(10)) {
+      for (leaf_set& one : all) {
+        const auto picked = one.pick(now, "s", "w");
+        if (!picked) continue;
+        one.sent(now, picked.value(), ++id, "w");
+        one.ended(now, picked.value(), id, ending::abandoned);
+        sends.push_back(now);
+      }
+    }
+    for (const time_point from : sends) {
+      const auto count = std::ranges::count_if(sends, [from](time_point at) {
+        return at >= from && at < from + seconds(1);
+      });
+      RC_ASSERT(static_cast<double>(count) <= 1.5 * rate + 5);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace medlarloft::leafs
--- a/packages/membership/include/medlarloft/membership.hpp
+++ b/packages/membership/include/medlarloft/membership.hpp
@@ -69,6 +69,9 @@
   std::optional<bool> leaving;
 };
 
+/// The platform is not known to have answered anybody.
+inline constexpr std::chrono::milliseconds unknown_age{0xffffffff};
+
 struct message {
   message_kind kind{};
   std::string from;
@@ -84,6 +87,8 @@
   /// an answer that goes no further.
   std::string root;
   std::vector<server_word> words;
+  /// How long ago the platform was known to answer some daemon.
+  std::chrono::milliseconds source_age = unknown_age;
 };
 
 struct envelope {
@@ -275,6 +280,8 @@
   std::optional<time_point> last_heard_;
   bool joined_ = false;
   note_version version_ = 0;
+  /// The version before, which others most likely hold.
+  note_version previous_ = 0;
   std::uint64_t digest_ = 0;
 };
 
--- a/packages/membership/src/spreading.cpp
+++ b/packages/membership/src/spreading.cpp
@@ -93,6 +93,7 @@
                         std::uint64_t digest, const std::string& root,
                         bool first_hand) {
   outputs out;
+  if (version != version_) previous_ = version_;
   version_ = version;
   digest_ = digest;
   if (!root.empty()) push_note(out, root, first_hand);
@@ -137,7 +138,7 @@
     if (id == self_.id || record == nullptr) continue;
     message body = make(message_kind::notes);
     // The receiver most likely holds the version before this one.
-    body.notes = held_(version_ - 1);
+    body.notes = held_(previous_);
     // In another data centre the receiver is the root of its own tree.
     const bool same = record->data_centre == self_.data_centre;
     body.root = same ? root : id;
--- a/packages/peers/schema/wire.capnp
+++ b/packages/peers/schema/wire.capnp
@@ -103,6 +103,8 @@
   root @8 :Text;
   words @9 :List(Word);
   stamp @10 :Stamp;
+  # Milliseconds since the platform was known to answer some daemon.
+  sourceAge @11 :UInt32 = 0xffffffff;
 }
 
 interface Control {
--- a/packages/peers/src/wire_codec.cpp
+++ b/packages/peers/src/wire_codec.cpp
@@ -193,6 +193,7 @@
   to.setVersion(from.version);
   to.setDigest(from.digest);
   to.setRoot(from.root);
+  to.setSourceAge(static_cast<std::uint32_t>(from.source_age.count()));
   auto updates = to.initUpdates(count_of(from.updates.size()));
   for (unsigned i = 0; i < updates.size(); ++i) {
     write(from.updates[i], updates[i]);
@@ -217,6 +218,7 @@
   value.version = from.getVersion();
   value.digest = from.getDigest();
   value.root = text_of(from.getRoot());
+  value.source_age = std::chrono::milliseconds(from.getSourceAge());
   value.updates.reserve(from.getUpdates().size());
   for (const auto update : from.getUpdates()) {
     value.updates.push_back(read(update));
--- a/packages/replica/tests/replica_test.cpp
+++ b/packages/replica/tests/replica_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <rapidcheck.h>
+#include <algorithm>
 #include <map>
 
 namespace medlarloft::replica {
@@ -90,7 +91,8 @@
 
 // Any order of whole batches from the platform and from peers ends alike.
 TEST(store_copy, histories_converge_whatever_the_order) {
-  rc::check([](std::vector<std::pair<std::uint8_t, bool>> steps) {
+  rc::check([](const std::vector<std::pair<std::uint8_t, bool>>& steps,
+               std::uint64_t order) {
     std::vector<change> history;
     std::map<std::string, std::string> model;
     for (const auto& [key, kept] : steps) {
@@ -105,7 +107,9 @@
       }
     }
     store_copy copy({});
-    auto shuffled = *rc::gen::shuffle(history);
+    std::vector<change> shuffled = history;
+    random_stream random(order);
+    std::ranges::shuffle(shuffled, random);
     for (const change& each : shuffled)
       copy.apply(start, {each}, each.changed_at);
     RC_ASSERT(contents(copy) == model);
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 
 #include "event_log.hpp"
 #include "figures.hpp"
@@ -16,6 +17,7 @@
 #include "request_run.hpp"
 #include "stop_sequence.hpp"
 #include "store_reader.hpp"
+#include "watch_duty.hpp"
 
 namespace medlarloft::tier {
 namespace {
@@ -42,6 +44,10 @@
 constexpr int keep_factor = 3;
 constexpr duration stop_poll = milliseconds(50);
 constexpr duration sweep_period = milliseconds(500);
+/// How often it is looked at who reads the store.
+constexpr duration duty_period = milliseconds(200);
+/// At the start a daemon that is no seed hears others first.
+constexpr duration first_wait = milliseconds(120);
 /// Limits are divided by at least this many daemons, since others may start.
 constexpr std::size_t least_fleet = 8;
 /// Daemons that are gone count for shared limits this long.
@@ -113,7 +119,9 @@
   void serve_readiness(const std::shared_ptr<http::exchange>& asked);
   std::vector<endpoint> addresses_for(const address_question& asked) const;
   void take_members(membership::outputs wanted);
-  void note_progress();
+  void note_progress(const std::string& root);
+  void check_duty();
+  void send(const membership::envelope& each);
   void tick_members();
   void sweep();
   void set_shares(time_point now);
@@ -139,6 +147,8 @@
   std::unique_ptr<membership::group> members;
   std::shared_ptr<peer_link> link;
   std::unique_ptr<store_reader> store;
+  watch_duty duty;
+  std::set<std::string> data_centres;
   std::unique_ptr<http::server> callers;
   std::unique_ptr<http::server> readiness;
   std::unique_ptr<http::server> addresses;
@@ -171,6 +181,12 @@
               .window = values.retries.window,
               .daemons = least_fleet}),
       traffic{timers, words, leafs, pool, budget, log, counts},
+      duty({.first_wait =
+                std::ranges::find(values.seeds, values.listen.control) ==
+                        values.seeds.end()
+                    ? first_wait
+                    : duration::zero()},
+           steady_clock::now()),
       stop({.within = values.stop_within,
             .kept_addresses =
                 std::min(address_keep, values.longest_keep) * keep_factor}) {}
@@ -195,22 +211,22 @@
           .changes =
               [this](const auto& changes, replica::revision upto) {
                 fleet.apply(steady_clock::now(), changes, upto, "store");
-                note_progress();
+                note_progress(values.id);
               },
           .listing =
               [this](const auto& listing, replica::revision from) {
                 fleet.apply_listing(steady_clock::now(), listing, from,
                                     "store");
-                note_progress();
+                note_progress(values.id);
               },
+          .answered = [this] { duty.answered(steady_clock::now()); },
           .reachable =
               [this](bool answers, const std::string& reason) {
-                fleet.store_answers(steady_clock::now(), answers);
                 log.write(
                     answers ? "store_regained" : "store_lost",
                     {{"reason", reason}, {"revision", fleet.copy().upto()}});
               }});
-  store->start();
+  check_duty();
 }
 
 result<void, tier_error> daemon::state::start() {
@@ -259,6 +275,7 @@
   link = std::make_shared<peer_link>(
       loop, timers, values.listen.control,
       [this](const membership::message& message) {
+        duty.heard(steady_clock::now(), message.source_age);
         take_members(members->receive(steady_clock::now(), message));
       });
   if (auto began = link->start(); !began) return began.error();
@@ -279,7 +296,7 @@
 
 void daemon::state::take_members(membership::outputs wanted) {
   for (const membership::envelope& each : wanted.sends)
-    link->send(each.to, each.message);
+    send(each);
   for (const membership::received_notes& each : wanted.notes) {
     for (const notes::release_note& note : each.chain) {
       const auto changes = read_changes(note.text);
@@ -290,7 +307,7 @@
       } else if (note.base <= fleet.copy().upto()) {
         fleet.apply(now, *changes, note.version, each.from);
       }
-      note_progress();
+      note_progress(each.root);
     }
   }
   for (const membership::member_event& each : wanted.events) {
@@ -301,13 +318,35 @@
   tick_members();
 }
 
-// Tells the group how far this daemon's copy of the store is.
-void daemon::state::note_progress() {
+void daemon::state::send(const membership::envelope& each) {
+  membership::message told = each.message;
+  told.source_age = duty.age(steady_clock::now());
+  link->send(each.to, told);
+}
+
+// A few daemons read the store for all; see watch_duty.
+void daemon::state::check_duty() {
+  const time_point now = steady_clock::now();
+  fleet.store_answers(now, duty.fresh(now));
+  const bool reads = duty.reads(now, *members, values.data_centre, values.id,
+                                data_centres.size());
+  if (reads != store->active()) {
+    log.write(reads ? "store_reading_begins" : "store_reading_ends",
+              {{"revision", fleet.copy().upto()}, {"fresh", duty.fresh(now)}});
+    store->set_active(reads, fleet.copy().upto());
+  }
+  timers.after(duty_period, [this] { check_duty(); });
+}
+
+// Tells the group how far this daemon's copy of the store is. `root` is the
+// daemon at which the spreading of these changes began.
+void daemon::state::note_progress(const std::string& root) {
   const replica::revision upto = fleet.copy().upto();
   // One revision has one content, so the digest says nothing more.
-  auto wanted = members->set_note(steady_clock::now(), upto, upto, {});
+  auto wanted = members->set_note(steady_clock::now(), upto, upto, root,
+                                  root == values.id);
   for (const membership::envelope& each : wanted.sends)
-    link->send(each.to, each.message);
+    send(each);
 }
 
 void daemon::state::tick_members() {
@@ -338,7 +377,10 @@
     const bool here = each.state == member_state::alive ||
                       each.state == member_state::suspected ||
                       each.state == member_state::leaving;
-    if (here) seen_daemons[each.id] = now;
+    if (here) {
+      seen_daemons[each.id] = now;
+      data_centres.insert(each.data_centre);
+    }
   }
   std::erase_if(seen_daemons, [now](const auto& entry) {
     return now - entry.second > gone_counts_for;
--- a/packages/tier/src/store_reader.cpp
+++ b/packages/tier/src/store_reader.cpp
@@ -27,7 +27,22 @@
   if (connection_) connection_->close();
 }
 
-void store_reader::start() {
+void store_reader::set_active(bool active, replica::revision known) {
+  if (active == active_) return;
+  active_ = active;
+  if (!active) {
+    timers_.cancel(timer_);
+    if (connection_) connection_->close();
+    connection_.reset();
+    pages_.clear();
+    answers_ = false;
+    told_ = false;
+    return;
+  }
+  if (known > 0) {
+    listed_ = true;
+    cursor_ = std::max(cursor_, known);
+  }
   next();
 }
 
@@ -70,7 +85,7 @@
        .max_answer_bytes = max_answer_bytes});
   connection_->open([this, alive = alive_, target = std::move(target), timeout](
                         bool ok, duration) {
-    if (!*alive) return;
+    if (!*alive || !active_) return;
     if (ok) {
       send(target, timeout);
     } else {
@@ -92,7 +107,7 @@
   connection_->exchange(
       http::to_request_text(request), request.method, nullptr,
       [this, alive = alive_](const http::exchange_result& got) {
-        if (!*alive) return;
+        if (!*alive || !active_) return;
         timers_.cancel(timer_);
         on_answer(got);
       });
@@ -156,6 +171,7 @@
 
 void store_reader::succeeded() {
   backoff_ = options_.first_backoff;
+  hooks_.answered();
   if (std::exchange(answers_, true) && told_) return;
   told_ = true;
   hooks_.reachable(true, "answers");
--- a/packages/tier/src/store_reader.hpp
+++ b/packages/tier/src/store_reader.hpp
@@ -19,7 +19,8 @@
     endpoint store;
     std::string from_ip;
     /// How long the store holds a call until something changes.
-    duration longest_wait = std::chrono::seconds(15);
+    /// An open call says nothing of the store, so it is short.
+    duration longest_wait = std::chrono::seconds(2);
     duration call_timeout = std::chrono::milliseconds(1500);
     /// While nothing is known, calls that hang are given up soon: the first
     /// after this, the next ones after twice as long, up to `call_timeout`.
@@ -35,6 +36,8 @@
         changes;
     std::function<void(const std::vector<replica::change>&, replica::revision)>
         listing;
+    /// The store has answered a call.
+    std::function<void()> answered;
     /// The store answers, or does not any more; said once for each change.
     std::function<void(bool answers, const std::string& reason)> reachable;
   };
@@ -45,11 +48,13 @@
   store_reader(const store_reader&) = delete;
   store_reader& operator=(const store_reader&) = delete;
 
-  void start();
+  /// Begins to read, or stops. `known` is how far the daemon's copy is; it is
+  /// listed only when nothing is known.
+  void set_active(bool active, replica::revision known);
+  bool active() const noexcept { return active_; }
   /// A peer knows more than the store said for too long: asks anew.
   void doubt();
   std::uint64_t calls() const noexcept { return calls_; }
-  bool answers() const noexcept { return answers_; }
 
  private:
   using http_connection = std::shared_ptr<http::connection>;
@@ -71,6 +76,7 @@
   random_stream random_;
   http_connection connection_;
   loop::timer_queue::handle timer_;
+  bool active_ = false;
   bool listed_ = false;
   bool ever_listed_ = false;
   duration next_timeout_;
--- /dev/null
+++ b/packages/tier/tests/settings_test.cpp
@@ -0,0 +1,45 @@
+#include <gtest/gtest.h>
+
+#include "medlarloft/tier.hpp"
+
+namespace medlarloft::tier {
+namespace {
+
+std::string text(const std::string& callers = "10.0.0.1:80",
+                 const std::string& ratio = "0.2") {
+  return R"({"id":"d1","data_centre":"a","region":"r","listen":{"callers":")" +
+         callers +
+         R"(","readiness":"10.0.0.1:81","addresses":"10.0.0.1:82",
+         "control":"10.0.0.1:83","metrics":"10.0.0.1:84"},
+         "seeds":["10.0.0.2:83"],"store":"10.0.0.9:99",
+         "retries":{"ratio":)" +
+         ratio + R"(,"window":"10s","slack":54},"stop_within":"6s",
+         "longest_keep":"5s","max_descriptors":4100,"later":1})";
+}
+
+TEST(tier_settings, reads_every_value_and_ignores_unknown_ones) {
+  const auto read = read_settings(text());
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read.value().listen.callers, (endpoint{"10.0.0.1", 80}));
+  EXPECT_EQ(read.value().seeds.size(), 1U);
+  EXPECT_EQ(read.value().retries.slack, 54);
+  EXPECT_EQ(read.value().stop_within, std::chrono::seconds(6));
+}
+
+TEST(tier_settings, names_the_value_that_is_impossible) {
+  const auto read = read_settings(text("nowhere"));
+  ASSERT_FALSE(read);
+  EXPECT_EQ(read.error().path, "listen.callers");
+  EXPECT_NE(read.error().text().find("nowhere"), std::string::npos);
+  EXPECT_EQ(read_settings(text("10.0.0.1:80", "-1")).error().path,
+            "retries.ratio");
+}
+
+TEST(tier_settings, names_the_value_that_is_missing) {
+  const auto read = read_settings(R"({"id":"d1"})");
+  ASSERT_FALSE(read);
+  EXPECT_EQ(read.error().path, "data_centre");
+}
+
+}  // namespace
+}  // namespace medlarloft::tier
