--- a/packages/client/src/client.cpp
+++ b/packages/client/src/client.cpp
@@ -16,7 +16,7 @@
   int (*run)(const options&, const detail::arguments&, const console&);
 };
 
-constexpr std::array<entry, 12> commands{
+constexpr std::array<entry, 13> commands{
     {{"note check", "FILE...", "check notes, each building on the one before",
       detail::note_check},
      {"note diff", "FILE FILE...", "what the last note changes",
@@ -35,6 +35,8 @@
      {"stats", "", "merged metrics of each daemon", detail::stats},
      {"timeline", "", "events of all daemons in causal order",
       detail::timeline_of_all},
+     {"explain", "REQUEST-ID LOG...", "why a request ended as it did",
+      detail::explain},
      {"addresses", "CALLERS_ADDRESS [CALLER]", "which daemons a caller gets",
       detail::addresses},
      {"ask", "CALLERS_ADDRESS SERVICE [BODY]", "run one query", detail::ask}}};
--- a/packages/client/src/commands.hpp
+++ b/packages/client/src/commands.hpp
@@ -27,6 +27,7 @@
                     const console& io);
 int addresses(const options& settings, const arguments& words,
               const console& io);
+int explain(const options& settings, const arguments& words, const console& io);
 int ask(const options& settings, const arguments& words, const console& io);
 
 }  // namespace medlarloft::client::detail
--- a/packages/fanout/include/medlarloft/fanout.hpp
+++ b/packages/fanout/include/medlarloft/fanout.hpp
@@ -129,7 +129,7 @@
   /// Of these, the leafs that had not answered.
   std::vector<leaf_handle> silent;
   /// Why no other leaf was asked.
-  no_leaf obstacle{};
+  std::optional<no_leaf> obstacle;
   bool budget_empty = false;
   /// How the last request that ended had ended.
   std::optional<ending> last_ending;
@@ -212,7 +212,7 @@
     attempt_kind waiting_kind{};
     bool may_have_run = false;
     bool given_up = false;
-    no_leaf obstacle{};
+    std::optional<no_leaf> obstacle;
     bool budget_empty = false;
     std::optional<ending> last_ending;
   };
--- a/packages/tier/src/request_run.cpp
+++ b/packages/tier/src/request_run.cpp
@@ -57,6 +57,11 @@
           .longest_wait = longest_wait(route, deadline - began)};
 }
 
+// Logs tell times in whole microseconds.
+duration rounded(duration value) {
+  return std::chrono::floor<std::chrono::microseconds>(value);
+}
+
 std::string seconds_text(duration value) {
   const auto ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -154,6 +159,13 @@
   if (wanted.kind == fanout::attempt_kind::retry) {
     context_.counts.add(count::retries);
   }
+  history_.push_back(
+      {.attempt = wanted.attempt,
+       .shard = wanted.shard,
+       .leaf = wanted.leaf,
+       .kind = wanted.kind,
+       .sent_at = now,
+       .expected = context_.leafs.expected(now, wanted.leaf, route_.name)});
   open_attempt& open = attempts_[wanted.attempt];
   open.leaf = wanted.leaf;
   open.sent_at = now;
@@ -233,6 +245,10 @@
   }
   context_.leafs.ended(now, open.leaf, attempt, how);
   context_.counts.ended(how);
+  const auto past =
+      std::ranges::find(history_, attempt, &attempt_record::attempt);
+  past->ending = how;
+  past->took = now - past->sent_at;
   if (open.abandoned || execution_.finished()) return;
   if (how == leafs::ending::answered) {
     carry_out(execution_.on_answer(now, attempt, std::move(*answer)));
@@ -300,23 +316,33 @@
   log_end(done, status);
 }
 
+// A first request that was answered says nothing; every other one does.
+void request_run::log_attempt(const attempt_record& attempt) {
+  const bool plain = attempt.kind == fanout::attempt_kind::first &&
+                     attempt.ending == leafs::ending::answered;
+  if (plain) return;
+  const leafs::registration& leaf = *context_.leafs.find(attempt.leaf);
+  context_.log.write(
+      "attempt", {{"request", facts_.request_id},
+                  {"service", execution_.asked().services[attempt.shard]},
+                  {"kind", fanout::name_of(attempt.kind)},
+                  {"leaf", leaf.id},
+                  {"data_centre", leaf.data_centre},
+                  {"sent_after", rounded(attempt.sent_at - began_)},
+                  {"expected", rounded(attempt.expected)},
+                  {"ending", attempt.ending ? leafs::name_of(*attempt.ending)
+                                            : "no_answer_yet"},
+                  {"took", rounded(attempt.took)}});
+}
+
 void request_run::log_missing(const fanout::missing_part& part) {
-  std::string silent;
-  const time_point now = steady_clock::now();
-  for (const leafs::leaf_handle leaf : part.silent) {
-    if (!silent.empty()) silent += ',';
-    silent += context_.leafs.find(leaf)->id + "@" +
-              context_.leafs.find(leaf)->data_centre + "/" +
-              format_duration(std::chrono::floor<std::chrono::microseconds>(
-                  context_.leafs.expected(now, leaf, route_.name)));
-  }
   context_.log.write(
       "part_missing",
       {{"request", facts_.request_id},
        {"service", execution_.asked().services[part.shard]},
        {"sends", part.sends},
-       {"silent", silent},
-       {"obstacle", leafs::name_of(part.obstacle)},
+       {"unanswered", part.silent.size()},
+       {"obstacle", part.obstacle ? leafs::name_of(*part.obstacle) : "none"},
        {"budget_empty", part.budget_empty},
        {"last_ending",
         part.last_ending ? leafs::name_of(*part.last_ending) : "none"}});
@@ -329,8 +355,12 @@
                     now <= execution_.asked().answer_by;
   if (!context_.log.admits(now, !well)) return;
   const fanout::tally& tally = execution_.tally();
-  for (const fanout::missing_part& part : done.missing)
+  std::ranges::for_each(history_, [this](const attempt_record& attempt) {
+    log_attempt(attempt);
+  });
+  std::ranges::for_each(done.missing, [this](const fanout::missing_part& part) {
     log_missing(part);
+  });
   context_.log.write(
       "request_ended",
       {{"request", facts_.request_id},
--- a/packages/tier/src/request_run.hpp
+++ b/packages/tier/src/request_run.hpp
@@ -45,6 +45,19 @@
     loop::timer_queue::handle give_up;
   };
 
+  /// One request to a leaf, for the log.
+  struct attempt_record {
+    leafs::attempt_id attempt = 0;
+    std::size_t shard = 0;
+    leafs::leaf_handle leaf = 0;
+    fanout::attempt_kind kind{};
+    time_point sent_at;
+    duration expected{};
+    /// Nothing: still open when the request ended.
+    std::optional<leafs::ending> ending;
+    duration took{};
+  };
+
   fanout::hooks choices();
   void carry_out(fanout::actions wanted);
   void send(const fanout::send_action& wanted);
@@ -53,6 +66,7 @@
   void on_timer();
   void finish(const fanout::final_outcome& done);
   http::message answer_for(const fanout::final_outcome& done) const;
+  void log_attempt(const attempt_record& attempt);
   void log_missing(const fanout::missing_part& part);
   void log_end(const fanout::final_outcome& done, int status);
 
@@ -66,6 +80,7 @@
   time_point caller_deadline_;
   fanout::execution execution_;
   std::unordered_map<leafs::attempt_id, open_attempt> attempts_;
+  std::vector<attempt_record> history_;
   loop::timer_queue::handle timer_;
 };
 
--- a/packages/tier/src/store_reader.cpp
+++ b/packages/tier/src/store_reader.cpp
@@ -81,7 +81,8 @@
       loop_, timers_,
       {.to = options_.store,
        .from_ip = options_.from_ip,
-       .connect_timeout = std::min(timeout, options_.call_timeout / 3),
+       .connect_timeout =
+           ever_listed_ ? options_.call_timeout / 3 : options_.first_connect,
        .max_answer_bytes = max_answer_bytes});
   connection_->open([this, alive = alive_, target = std::move(target), timeout](
                         bool ok, duration) {
--- a/packages/tier/src/store_reader.hpp
+++ b/packages/tier/src/store_reader.hpp
@@ -25,6 +25,8 @@
     /// While nothing is known, calls that hang are given up soon: the first
     /// after this, the next ones after twice as long, up to `call_timeout`.
     duration first_timeout = std::chrono::milliseconds(300);
+    /// While nothing is known a lost opening packet is not waited for.
+    duration first_connect = std::chrono::milliseconds(100);
     /// Pause after changes, so that some of them share a call.
     duration gather_pause = std::chrono::milliseconds(120);
     duration first_backoff = std::chrono::milliseconds(100);
