--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -15,6 +15,7 @@
 #include "medlarloft/tier.hpp"
 #include "peer_link.hpp"
 #include "request_run.hpp"
+#include "seconds_text.hpp"
 #include "stop_sequence.hpp"
 #include "store_reader.hpp"
 #include "watch_duty.hpp"
@@ -52,7 +53,10 @@
 constexpr std::size_t least_fleet = 8;
 /// Daemons that are gone count for shared limits this long.
 constexpr duration gone_counts_for = std::chrono::seconds(10);
-constexpr duration not_ready_retry = milliseconds(300);
+/// A daemon that has just started mostly knows a configuration soon; the
+/// longer it has none, the longer it will take.
+constexpr duration least_not_ready_retry = milliseconds(100);
+constexpr duration most_not_ready_retry = std::chrono::seconds(1);
 /// A gap between two turns of the loop that shows that the process stood still.
 constexpr duration stall_gap = std::chrono::seconds(2);
 /// Descriptors that are not for callers.
@@ -130,6 +134,10 @@
   void begin_stop();
   void await_end();
   http::limits caller_limits() const;
+  duration not_ready_retry(time_point now) const {
+    return std::clamp<duration>((now - started_at) / 2, least_not_ready_retry,
+                                most_not_ready_retry);
+  }
   bool ready() const { return !stop.begun() && fleet.ready(); }
 
   settings values;
@@ -160,6 +168,7 @@
   loop::timer_queue::handle member_timer;
   time_point last_sweep{};
   stop_sequence stop;
+  time_point started_at = steady_clock::now();
 };
 
 daemon::state::state(settings given, adapter given_words)
@@ -457,7 +466,8 @@
   if (!fleet.ready()) {
     counts.add(count::not_ready);
     asked->respond(
-        {.status = status_unavailable, .headers = {{"Retry-After", "0.3"}}});
+        {.status = status_unavailable,
+         .headers = {{"Retry-After", seconds_text(not_ready_retry(now))}}});
     return;
   }
   caller_facts facts = words.read_caller(asked->request());
--- a/packages/tier/src/request_run.cpp
+++ b/packages/tier/src/request_run.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "seconds_text.hpp"
+
 namespace medlarloft::tier {
 namespace {
 
@@ -62,14 +64,6 @@
   return std::chrono::floor<std::chrono::microseconds>(value);
 }
 
-std::string seconds_text(duration value) {
-  const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-  std::string fraction = std::to_string(ms % 1000);
-  fraction.insert(0, 3 - fraction.size(), '0');
-  return std::to_string(ms / 1000) + "." + fraction;
-}
-
 }  // namespace
 
 request_run::request_run(traffic_context& context,
