tier: callers are told of large hosts while these have time

Change: members tell their capacity and load; choose_addresses names the large hosts of a data centre unless they are fewer than two or 40% in use.

--- a/packages/membership/include/medlarloft/membership.hpp
+++ b/packages/membership/include/medlarloft/membership.hpp
@@ -42,6 +42,8 @@
   endpoint control;
   std::uint64_t incarnation = 0;
   member_state state = member_state::unheard;
+  /// Thousandths of a processor core; 0: not said.
+  std::uint32_t capacity = 0;
 
   friend bool operator==(const member_record&, const member_record&) = default;
 };
@@ -89,6 +91,8 @@
   std::vector<server_word> words;
   /// How long ago the platform was known to answer some daemon.
   std::chrono::milliseconds source_age = unknown_age;
+  /// Thousandths of the sender's capacity that are in use.
+  std::uint16_t load = 0;
 };
 
 struct envelope {
--- a/packages/peers/schema/wire.capnp
+++ b/packages/peers/schema/wire.capnp
@@ -76,6 +76,8 @@
   controlPort @3 :UInt16;
   incarnation @4 :UInt64;
   state @5 :UInt8;
+  # Thousandths of a processor core; 0: not said.
+  capacity @6 :UInt32;
 }
 
 struct Note {
@@ -105,6 +107,8 @@
   stamp @10 :Stamp;
   # Milliseconds since the platform was known to answer some daemon.
   sourceAge @11 :UInt32 = 0xffffffff;
+  # Thousandths of the sender's capacity that are in use.
+  load @12 :UInt16;
 }
 
 interface Control {
--- a/packages/peers/src/wire_codec.cpp
+++ b/packages/peers/src/wire_codec.cpp
@@ -79,6 +79,7 @@
   to.setControlPort(from.control.port);
   to.setIncarnation(from.incarnation);
   to.setState(static_cast<std::uint8_t>(from.state));
+  to.setCapacity(from.capacity);
 }
 
 membership::member_record read(wire::Member::Reader from) {
@@ -86,7 +87,8 @@
           text_of(from.getDataCentre()),
           {text_of(from.getControlIp()), from.getControlPort()},
           from.getIncarnation(),
-          checked(from.getState(), membership::member_state::left)};
+          checked(from.getState(), membership::member_state::left),
+          from.getCapacity()};
 }
 
 std::uint8_t encode_leaving(const std::optional<bool>& leaving) {
@@ -193,6 +195,7 @@
   to.setVersion(from.version);
   to.setDigest(from.digest);
   to.setRoot(from.root);
+  to.setLoad(from.load);
   to.setSourceAge(static_cast<std::uint32_t>(from.source_age.count()));
   auto updates = to.initUpdates(count_of(from.updates.size()));
   for (unsigned i = 0; i < updates.size(); ++i) {
@@ -218,6 +221,7 @@
   value.version = from.getVersion();
   value.digest = from.getDigest();
   value.root = text_of(from.getRoot());
+  value.load = from.getLoad();
   value.source_age = std::chrono::milliseconds(from.getSourceAge());
   value.updates.reserve(from.getUpdates().size());
   for (const auto update : from.getUpdates()) {
--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -50,6 +50,12 @@
   duration stop_within = std::chrono::seconds(6);
   /// Longest time that callers may keep addresses.
   duration longest_keep = std::chrono::seconds(5);
+  struct {
+    /// Part of a core that this daemon has.
+    double share = 1.0;
+    /// Speed of that core, 1 for the usual one.
+    double speed = 1.0;
+  } processor;
   std::size_t max_descriptors = 1024;
 };
 
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 
+#include "address_choice.hpp"
 #include "event_log.hpp"
 #include "figures.hpp"
 #include "fleet_state.hpp"
@@ -35,16 +36,19 @@
 /// How often members are probed.
 constexpr duration probe_period = milliseconds(500);
 constexpr duration probe_timeout = milliseconds(200);
-/// Addresses given to callers at most.
-constexpr std::size_t most_addresses = 64;
-/// With this many daemons in a caller's data centre no others are named.
-constexpr std::size_t enough_near = 2;
 /// How long callers keep addresses; some keep them three times as long, which
 /// must end before a stopping daemon does.
 constexpr duration address_keep = milliseconds(5000);
 constexpr int keep_factor = 3;
 constexpr duration stop_poll = milliseconds(50);
 constexpr duration sweep_period = milliseconds(500);
+/// Processor time of a request to a leaf with all that belongs to it, on a core
+/// of usual speed; docs/MEASUREMENTS.md.
+constexpr duration leaf_request_cost = std::chrono::microseconds(90);
+/// Weight of the newest estimate of the processor's use.
+constexpr double load_weight = 0.3;
+/// Loads are told in thousandths.
+constexpr double load_units = 1000.0;
 /// How often it is looked at who reads the store.
 constexpr duration duty_period = milliseconds(200);
 /// At the start a daemon that is no seed hears others first.
@@ -67,6 +71,12 @@
   return mix64(hash64(values.id), device());
 }
 
+std::uint32_t capacity_of(const settings& values) {
+  constexpr double thousandths = 1000.0;
+  const double cores = values.processor.share * values.processor.speed;
+  return std::max(static_cast<std::uint32_t>(cores * thousandths), 1U);
+}
+
 membership::group_options group_options_of(const settings& values,
                                            std::uint64_t seed) {
   const auto started = std::chrono::duration_cast<milliseconds>(
@@ -75,7 +85,8 @@
   return {.self = {.id = values.id,
                    .data_centre = values.data_centre,
                    .control = values.listen.control,
-                   .incarnation = static_cast<std::uint64_t>(started)},
+                   .incarnation = static_cast<std::uint64_t>(started),
+                   .capacity = capacity_of(values)},
           .seeds = values.seeds,
           .probe_period = probe_period,
           .probe_timeout = probe_timeout,
@@ -127,6 +138,7 @@
   void check_duty();
   void send(const membership::envelope& each);
   void tick_members();
+  void measure_load(time_point now);
   void sweep();
   void set_shares(time_point now);
   void await_signal();
@@ -167,6 +179,10 @@
   std::function<std::optional<settings>()> reread;
   loop::timer_queue::handle member_timer;
   time_point last_sweep{};
+  /// Share of its processor that each daemon uses, as last heard.
+  std::map<std::string, double> loads;
+  std::uint64_t load_sent = 0;
+  time_point load_at = steady_clock::now();
   stop_sequence stop;
   time_point started_at = steady_clock::now();
 };
@@ -285,6 +301,7 @@
       loop, timers, values.listen.control,
       [this](const membership::message& message) {
         duty.heard(steady_clock::now(), message.source_age);
+        loads[message.from] = message.load / load_units;
         take_members(members->receive(steady_clock::now(), message));
       });
   if (auto began = link->start(); !began) return began.error();
@@ -330,6 +347,7 @@
 void daemon::state::send(const membership::envelope& each) {
   membership::message told = each.message;
   told.source_age = duty.age(steady_clock::now());
+  told.load = static_cast<std::uint16_t>(loads[values.id] * load_units);
   link->send(each.to, told);
 }
 
@@ -373,6 +391,7 @@
     take_members(members->woke_late(now));
   }
   last_sweep = now;
+  measure_load(now);
   fleet.tick(now);
   pool.sweep(now,
              [this](leafs::leaf_handle leaf) { return leafs.usable(leaf); });
@@ -394,6 +413,9 @@
   std::erase_if(seen_daemons, [now](const auto& entry) {
     return now - entry.second > gone_counts_for;
   });
+  std::erase_if(loads, [this](const auto& entry) {
+    return !seen_daemons.contains(entry.first);
+  });
   const std::size_t fleet_size = std::max(seen_daemons.size(), least_fleet);
   leafs.set_daemons(fleet_size, [this](std::string_view leaf) {
     const std::uint64_t own = hash64(values.id, hash64(leaf));
@@ -407,23 +429,38 @@
 
 std::vector<endpoint> daemon::state::addresses_for(
     const address_question& asked) const {
-  std::vector<endpoint> near;
-  std::vector<endpoint> all;
-  const auto add = [&](const member_record& each) {
-    const endpoint address{each.control.ip, values.listen.callers.port};
-    if (each.data_centre == asked.data_centre) near.push_back(address);
-    all.push_back(address);
-  };
+  std::vector<address_candidate> candidates;
   for (const member_record& each : members->members()) {
     const bool self = each.id == values.id;
-    if (self ? ready() : each.state == member_state::alive) add(each);
+    if (self ? !ready() : each.state != member_state::alive) continue;
+    const auto heard = loads.find(each.id);
+    candidates.push_back(
+        {.address = {each.control.ip, values.listen.callers.port},
+         .data_centre = each.data_centre,
+         .capacity = each.capacity,
+         .load = heard == loads.end() ? 0.0 : heard->second});
   }
-  if (near.size() >= enough_near) all = std::move(near);
-  if (all.empty() && !stop.begun()) {
-    all.push_back(values.listen.callers);
+  std::vector<endpoint> chosen =
+      choose_addresses(candidates, asked.data_centre);
+  if (chosen.empty() && !stop.begun()) chosen.push_back(values.listen.callers);
+  return chosen;
+}
+
+// Estimates how much of its processor this daemon uses. The clock of the
+// processor is no measure on hosts that give a process a share of a core.
+void daemon::state::measure_load(time_point now) {
+  const std::uint64_t sent = counts.value(count::leaf_requests);
+  const duration passed = now - load_at;
+  if (passed > duration::zero()) {
+    const double used = static_cast<double>(sent - load_sent) *
+                        std::chrono::duration<double>(leaf_request_cost) /
+                        std::chrono::duration<double>(passed);
+    const double share = used * load_units / capacity_of(values);
+    double& known = loads[values.id];
+    known += load_weight * (std::min(share, 1.0) - known);
   }
-  if (all.size() > most_addresses) all.resize(most_addresses);
-  return all;
+  load_sent = sent;
+  load_at = now;
 }
 
 void daemon::state::serve_addresses(
--- a/packages/tier/src/figures.hpp
+++ b/packages/tier/src/figures.hpp
@@ -43,6 +43,9 @@
   void set(count which, std::uint64_t value) noexcept {
     counts_[static_cast<std::size_t>(which)] = value;
   }
+  std::uint64_t value(count which) const noexcept {
+    return counts_[static_cast<std::size_t>(which)];
+  }
   void ended(leafs::ending how) noexcept {
     ++endings_[static_cast<std::size_t>(how)];
   }
--- a/packages/tier/src/settings.cpp
+++ b/packages/tier/src/settings.cpp
@@ -128,6 +128,8 @@
   from.read("retries.slack", values.retries.slack);
   from.read("stop_within", values.stop_within);
   from.read("longest_keep", values.longest_keep);
+  from.read("processor.share", values.processor.share);
+  from.read("processor.speed", values.processor.speed);
   double descriptors = 0;
   from.read("max_descriptors", descriptors);
   if (from.problem()) return *from.problem();
--- a/packages/tier/tests/settings_test.cpp
+++ b/packages/tier/tests/settings_test.cpp
@@ -14,7 +14,8 @@
          "seeds":["10.0.0.2:83"],"store":"10.0.0.9:99",
          "retries":{"ratio":)" +
          ratio + R"(,"window":"10s","slack":54},"stop_within":"6s",
-         "longest_keep":"5s","max_descriptors":4100,"later":1})";
+         "longest_keep":"5s","processor":{"share":0.25,"speed":1},
+         "max_descriptors":4100,"later":1})";
 }
 
 TEST(tier_settings, reads_every_value_and_ignores_unknown_ones) {
