tier, leafs, fanout: shared limits go with the size of hosts

Ruled out: processor (0.025 of 0.5 cores at most). While nothing is known who reads the store is looked at each 40 ms, not 200.

--- a/packages/fanout/include/medlarloft/fanout.hpp
+++ b/packages/fanout/include/medlarloft/fanout.hpp
@@ -49,16 +49,17 @@
     /// Extra arrivals beyond that in a window, over all daemons.
     double slack = 0;
     duration window = std::chrono::seconds(10);
-    /// Largest number of daemons that may run.
-    std::size_t daemons = 1;
+    /// This daemon's part of the slack.
+    double part = 1;
     /// Part of the limit that is used, since clocks and arrival times differ.
     double used_part = 0.9;
   };
 
   explicit retry_budget(options settings) : options_(settings) {}
 
-  /// Takes how many daemons may run; the limit is divided by them.
-  void set_daemons(std::size_t count) noexcept { options_.daemons = count; }
+  /// Takes this daemon's part of the slack; the parts of all daemons add up
+  /// to one at most.
+  void set_part(double part) noexcept { options_.part = part; }
 
   /// Counts the first arrival of a request.
   void request(time_point now, const std::string& service);
--- a/packages/fanout/src/retry_budget.cpp
+++ b/packages/fanout/src/retry_budget.cpp
@@ -40,9 +40,7 @@
       kept.begin(), kept.end(), 0.0, [whole](double sum, const slice& each) {
         return each.number > whole ? sum + each.requests : sum;
       });
-  const double shared =
-      options_.slack /
-      static_cast<double>(std::max<std::size_t>(options_.daemons, 1));
+  const double shared = options_.slack * options_.part;
   const double limit =
       options_.used_part * (options_.ratio * requests + shared);
   if (extras + 1 > limit) return false;
--- a/packages/fanout/tests/retry_budget_test.cpp
+++ b/packages/fanout/tests/retry_budget_test.cpp
@@ -26,7 +26,7 @@
 
 TEST(retry_budget, divides_the_slack_by_the_daemons) {
   retry_budget budget(
-      {.ratio = 0.2, .slack = 54, .daemons = 9, .used_part = 1.0});
+      {.ratio = 0.2, .slack = 54, .part = 1.0 / 9, .used_part = 1.0});
   int taken = 0;
   while (budget.take(start, "s"))
     ++taken;
@@ -56,7 +56,7 @@
     constexpr double slack = 12;
     std::vector<retry_budget> all(
         daemons,
-        retry_budget({.ratio = ratio, .slack = slack, .daemons = daemons}));
+        retry_budget({.ratio = ratio, .slack = slack, .part = 1.0 / daemons}));
     std::vector<time_point> requests;
     std::vector<time_point> extras;
     time_point now = start;
--- a/packages/leafs/include/medlarloft/leafs.hpp
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -62,6 +62,16 @@
   double cold_rate = 0;
 };
 
+/// What one daemon may use of the limits that all daemons share.
+struct fleet_part {
+  /// Part of each leaf's connections.
+  double part = 1;
+  std::size_t daemons = 1;
+  /// Place of this daemon among all for a leaf: the first ones may use a cold
+  /// one. Not set: the first place.
+  std::function<std::size_t(std::string_view leaf)> rank;
+};
+
 /// Why no leaf was picked.
 enum class no_leaf : std::uint8_t {
   none_registered,  // none that may get new requests
@@ -115,10 +125,8 @@
   /// Takes the data centres whose leafs get nothing.
   void set_out(std::set<std::string> data_centres);
   void set_limits(const std::string& service, service_limits limits);
-  /// Takes how many daemons there are, and this daemon's rank for a leaf among
-  /// them: the first ones may use a cold leaf.
-  void set_daemons(std::size_t count,
-                   std::function<std::size_t(std::string_view)> rank);
+  /// Takes this daemon's part of the limits that all daemons share.
+  void set_share(fleet_part part);
 
   /// Picks the leaf at which `work` will most likely end first.
   result<leaf_handle, no_leaf> pick(time_point now, const std::string& service,
@@ -195,8 +203,7 @@
   std::unordered_map<std::string, duration> work_times_;
   std::unordered_map<std::string, duration> round_trips_;
   std::set<std::string> out_;
-  std::size_t daemons_ = 1;
-  std::function<std::size_t(std::string_view)> rank_;
+  fleet_part part_;
 };
 
 }  // namespace medlarloft::leafs
--- a/packages/leafs/src/leaf_set.cpp
+++ b/packages/leafs/src/leaf_set.cpp
@@ -79,10 +79,8 @@
     reset_cold(steady_clock::time_point{}, leafs_[each]);
 }
 
-void leaf_set::set_daemons(std::size_t count,
-                           std::function<std::size_t(std::string_view)> rank) {
-  daemons_ = std::max<std::size_t>(count, 1);
-  rank_ = std::move(rank);
+void leaf_set::set_share(fleet_part part) {
+  part_ = std::move(part);
 }
 
 // The daemons that may use a cold leaf divide its rate; each holds one token
@@ -91,7 +89,7 @@
   const auto limits = limits_.find(one.said.service);
   const double rate = limits == limits_.end() ? 0.0 : limits->second.cold_rate;
   if (rate <= 0) return;
-  const auto users = std::min<std::size_t>(daemons_, options_.cold_burst);
+  const auto users = std::min<std::size_t>(part_.daemons, options_.cold_burst);
   one.cold_tokens = token_bucket(
       {.rate_per_second = rate / static_cast<double>(users), .burst = 1});
   one.cold_tokens.take(now, 1);
@@ -107,7 +105,8 @@
 std::size_t leaf_set::connections(const std::string& service) const {
   const auto found = limits_.find(service);
   if (found == limits_.end()) return 1;
-  return std::max<std::size_t>(found->second.max_connections / daemons_, 1);
+  const double part = found->second.max_connections * part_.part;
+  return std::max<std::size_t>(static_cast<std::size_t>(part), 1);
 }
 
 duration leaf_set::work_time(const std::string& work) const {
@@ -175,7 +174,7 @@
   const auto limits = limits_.find(one.said.service);
   const bool bounded = limits != limits_.end() && limits->second.cold_rate > 0;
   if (bounded && now < one.cold_until) {
-    const std::size_t rank = rank_ ? rank_(one.said.id) : 0;
+    const std::size_t rank = part_.rank ? part_.rank(one.said.id) : 0;
     if (rank >= options_.cold_burst) return no_leaf::all_busy;
     token_bucket tokens = one.cold_tokens;
     if (!tokens.take(now)) return no_leaf::all_busy;
--- a/packages/leafs/tests/leaf_set_test.cpp
+++ b/packages/leafs/tests/leaf_set_test.cpp
@@ -131,7 +131,7 @@
 }
 
 TEST_F(leaf_set_test, holds_no_more_connections_than_its_share) {
-  set.set_daemons(20, nullptr);
+  set.set_share({.part = 1.0 / 20, .daemons = 20});
   const leaf_handle only = set.put(start, leaf("a"));
   EXPECT_EQ(set.connections("s"), 2U);
   set.sent(start, only, 1, "w");
@@ -148,7 +148,9 @@
     std::vector<leaf_set> all;
     for (std::size_t i = 0; i < daemons; ++i) {
       all.emplace_back(leaf_set::options{.data_centre = "near"}, i);
-      all.back().set_daemons(daemons, [i](std::string_view) { return i; });
+      all.back().set_share({.part = 1.0 / static_cast<double>(daemons),
+                            .daemons = daemons,
+                            .rank = [i](std::string_view) { return i; }});
       all.back().set_limits("s", {.max_connections = 1000, .cold_rate = rate});
       registration cold = leaf("a");
       cold.cold_left = seconds(10);
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -11,6 +11,7 @@
 #include "address_choice.hpp"
 #include "event_log.hpp"
 #include "figures.hpp"
+#include "fleet_share.hpp"
 #include "fleet_state.hpp"
 #include "leaf_pool.hpp"
 #include "medlarloft/tier.hpp"
@@ -51,15 +52,13 @@
 constexpr double load_units = 1000.0;
 /// How often it is looked at who reads the store.
 constexpr duration duty_period = milliseconds(200);
+/// The same while this daemon can serve nobody.
+constexpr duration first_duty_period = milliseconds(40);
 /// At the start a daemon that is no seed hears others first.
 constexpr duration first_wait = milliseconds(120);
-/// Limits are divided by at least this many daemons, since others may start.
-constexpr std::size_t least_fleet = 8;
-/// Daemons that are gone count for shared limits this long.
-constexpr duration gone_counts_for = std::chrono::seconds(10);
 /// A daemon that has just started mostly knows a configuration soon; the
 /// longer it has none, the longer it will take.
-constexpr duration least_not_ready_retry = milliseconds(100);
+constexpr duration least_not_ready_retry = milliseconds(150);
 constexpr duration most_not_ready_retry = std::chrono::seconds(1);
 /// A gap between two turns of the loop that shows that the process stood still.
 constexpr duration stall_gap = std::chrono::seconds(2);
@@ -162,6 +161,7 @@
   leafs::leaf_set leafs;
   fleet_state fleet;
   leaf_pool pool;
+  fleet_share share;
   fanout::retry_budget budget;
   traffic_context traffic;
   std::unique_ptr<membership::group> members;
@@ -175,7 +175,6 @@
   std::unique_ptr<http::server> metrics_page;
   boost::asio::signal_set signals{loop};
   std::map<std::string, routes::split_chooser> splits;
-  std::map<std::string, time_point> seen_daemons;
   std::function<std::optional<settings>()> reread;
   loop::timer_queue::handle member_timer;
   time_point last_sweep{};
@@ -201,10 +200,11 @@
                   leafs.measured_round_trip(leafs.find(leaf)->data_centre,
                                             took);
                 }}),
+      share({.id = values.id, .capacity = capacity_of(values)}),
       budget({.ratio = values.retries.ratio,
               .slack = values.retries.slack,
               .window = values.retries.window,
-              .daemons = least_fleet}),
+              .part = share.part()}),
       traffic{timers, words, leafs, pool, budget, log, counts},
       duty({.first_wait =
                 std::ranges::find(values.seeds, values.listen.control) ==
@@ -362,7 +362,8 @@
               {{"revision", fleet.copy().upto()}, {"fresh", duty.fresh(now)}});
     store->set_active(reads, fleet.copy().upto());
   }
-  timers.after(duty_period, [this] { check_duty(); });
+  timers.after(fleet.ready() ? duty_period : first_duty_period,
+               [this] { check_duty(); });
 }
 
 // Tells the group how far this daemon's copy of the store is. `root` is the
@@ -405,26 +406,18 @@
     const bool here = each.state == member_state::alive ||
                       each.state == member_state::suspected ||
                       each.state == member_state::leaving;
-    if (here) {
-      seen_daemons[each.id] = now;
-      data_centres.insert(each.data_centre);
-    }
+    if (!here) continue;
+    share.seen(now, each.id, each.capacity);
+    data_centres.insert(each.data_centre);
   }
-  std::erase_if(seen_daemons, [now](const auto& entry) {
-    return now - entry.second > gone_counts_for;
-  });
-  std::erase_if(loads, [this](const auto& entry) {
-    return !seen_daemons.contains(entry.first);
-  });
-  const std::size_t fleet_size = std::max(seen_daemons.size(), least_fleet);
-  leafs.set_daemons(fleet_size, [this](std::string_view leaf) {
-    const std::uint64_t own = hash64(values.id, hash64(leaf));
-    return static_cast<std::size_t>(
-        std::ranges::count_if(seen_daemons, [&](const auto& entry) {
-          return hash64(entry.first, hash64(leaf)) < own;
-        }));
-  });
-  budget.set_daemons(fleet_size);
+  share.expire(now);
+  std::erase_if(
+      loads, [this](const auto& entry) { return !share.knows(entry.first); });
+  leafs.set_share(
+      {.part = share.part(),
+       .daemons = share.daemons(),
+       .rank = [this](std::string_view leaf) { return share.rank(leaf); }});
+  budget.set_part(share.part());
 }
 
 std::vector<endpoint> daemon::state::addresses_for(
