--- a/packages/client/src/explain_command.cpp
+++ b/packages/client/src/explain_command.cpp
@@ -11,7 +11,7 @@
 std::string joined(const log_line& line) {
   std::string text;
   for (const auto& [key, value] : line.pairs)
-    text += (text.empty() ? "" : " ") + key + "=" + value;
+    text.append(text.empty() ? "" : " ").append(key).append("=").append(value);
   return text;
 }
 
--- a/packages/client/tests/log_lines_test.cpp
+++ b/packages/client/tests/log_lines_test.cpp
@@ -2,13 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace medlarloft::client::detail {
 namespace {
 
 std::vector<log_line> lines_of(const std::vector<std::string>& texts) {
   std::vector<log_line> lines;
-  for (const std::string& text : texts)
-    lines.push_back(read_line(text));
+  std::ranges::transform(texts, std::back_inserter(lines), read_line);
   return lines;
 }
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -66,7 +66,7 @@
   void start();
   void close();
   bool busy() const noexcept { return current_ != nullptr || started_; }
-  void write_answer(message answer);
+  void write_answer(const message& answer);
 
   class running_exchange final : public exchange {
    public:
@@ -83,7 +83,7 @@
     void respond(message answer) override {
       gone_ = nullptr;
       if (auto owner = std::exchange(session_, nullptr)) {
-        owner->write_answer(std::move(answer));
+        owner->write_answer(answer);
       }
     }
     void on_gone(std::function<void()> gone) override {
@@ -259,7 +259,7 @@
   owner_->handler(current_);
 }
 
-void session::write_answer(message answer) {
+void session::write_answer(const message& answer) {
   if (closed_ || current_ == nullptr) return;
   current_ = nullptr;
   --owner_->running;
--- a/packages/http/tests/connection_test.cpp
+++ b/packages/http/tests/connection_test.cpp
@@ -21,7 +21,7 @@
   }
 
   /// Sends one request and waits for its end.
-  exchange_result exchange(connection& over, std::string id = "1") {
+  exchange_result exchange(connection& over, const std::string& id = "1") {
     std::optional<exchange_result> ended;
     over.exchange(
         to_request_text({.method = "GET", .target = "/x"}), "GET",
--- a/packages/http/tests/harness.hpp
+++ b/packages/http/tests/harness.hpp
@@ -34,7 +34,7 @@
 class scripted_leaf {
  public:
   explicit scripted_leaf(io_context& loop)
-      : loop_(loop), acceptor_(loop, {asio::ip::make_address("127.0.0.1"), 0}) {
+      : acceptor_(loop, {asio::ip::make_address("127.0.0.1"), 0}) {
     accept();
   }
 
@@ -87,7 +87,6 @@
         });
   }
 
-  io_context& loop_;
   tcp::acceptor acceptor_;
 };
 
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -132,7 +132,7 @@
   void serve_addresses(const std::shared_ptr<http::exchange>& asked);
   void serve_readiness(const std::shared_ptr<http::exchange>& asked);
   std::vector<endpoint> addresses_for(const address_question& asked) const;
-  void take_members(membership::outputs wanted);
+  void take_members(const membership::outputs& wanted);
   void note_progress(const std::string& root);
   void check_duty();
   void send(const membership::envelope& each);
@@ -320,7 +320,7 @@
   return outcome::success();
 }
 
-void daemon::state::take_members(membership::outputs wanted) {
+void daemon::state::take_members(const membership::outputs& wanted) {
   for (const membership::envelope& each : wanted.sends)
     send(each);
   for (const membership::received_notes& each : wanted.notes) {
--- a/packages/tier/src/figures.cpp
+++ b/packages/tier/src/figures.cpp
@@ -26,8 +26,9 @@
   std::string out;
   for (std::size_t i = 0; i < counts_.size(); ++i) {
     const std::string name = "medlarloft_" + std::string(names[i]) + "_total";
-    out += "# TYPE " + name + " counter\n" + name + label + "} " +
-           std::to_string(counts_[i]) + "\n";
+    out.append("# TYPE ").append(name).append(" counter\n");
+    out.append(name).append(label).append("} ");
+    out.append(std::to_string(counts_[i])).append("\n");
   }
   out += "# TYPE medlarloft_leaf_endings_total counter\n";
   for (std::size_t i = 0; i < endings_.size(); ++i) {
--- a/packages/tier/src/leaf_pool.cpp
+++ b/packages/tier/src/leaf_pool.cpp
@@ -27,7 +27,7 @@
 }
 
 void leaf_pool::call::close() {
-  if (const auto open = connection.lock()) open->close();
+  if (const auto open = connection_.lock()) open->close();
 }
 
 leaf_pool::call leaf_pool::send(leafs::leaf_handle leaf, const endpoint& to,
@@ -36,13 +36,13 @@
                                 http::connection::belongs mine, finished done) {
   call made;
   if (connection_ptr kept = take_idle(leaf)) {
-    made.connection = kept;
+    made.connection_ = kept;
     run(leaf, kept, text, method, std::move(mine), std::move(done));
     return made;
   }
   const connection_ptr fresh =
       http::connection::make(loop_, timers_, {.to = to, .from_ip = from_ip_});
-  made.connection = fresh;
+  made.connection_ = fresh;
   ++opened_;
   fresh->open([this, alive = alive_, leaf, fresh, text = std::move(text),
                method = std::move(method), mine = std::move(mine),
--- a/packages/tier/src/leaf_pool.hpp
+++ b/packages/tier/src/leaf_pool.hpp
@@ -35,7 +35,7 @@
 
    private:
     friend class leaf_pool;
-    std::weak_ptr<http::connection> connection;
+    std::weak_ptr<http::connection> connection_;
   };
 
   leaf_pool(http::io_context& loop, loop::timer_queue& timers,
--- a/packages/tier/tests/fleet_share_test.cpp
+++ b/packages/tier/tests/fleet_share_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <set>
 #include <vector>
@@ -52,8 +54,8 @@
 TEST(fleet_share, the_parts_of_all_add_up_to_one_at_most) {
   rc::check([](const std::vector<std::uint16_t>& told) {
     std::vector<std::uint32_t> all;
-    for (const std::uint16_t each : told)
-      all.push_back(each + 1U);
+    std::ranges::transform(told, std::back_inserter(all),
+                           [](std::uint16_t each) { return each + 1U; });
     const double sum = std::accumulate(
         all.begin(), all.end(), 0.0, [&all](double so_far, std::uint32_t own) {
           return so_far + share_of(own, all).part();
