--- a/packages/replica/tests/replica_test.cpp
+++ b/packages/replica/tests/replica_test.cpp
@@ -55,10 +55,10 @@
 }
 
 TEST(store_copy, never_holds_back_a_removal_with_the_immediate_prefix) {
-  store_copy copy({.immediate_prefix = "op/"});
-  copy.apply(start, {{"op/out/z", 1, "{}"}}, 1);
+  store_copy copy({.immediate_prefix = "ours/"});
+  copy.apply(start, {{"ours/z", 1, "{}"}}, 1);
   copy.platform_answers(start, false);
-  EXPECT_EQ(copy.apply(start, {{"op/out/z", 2, std::nullopt}}, 2).size(), 1U);
+  EXPECT_EQ(copy.apply(start, {{"ours/z", 2, std::nullopt}}, 2).size(), 1U);
 }
 
 TEST(store_copy, a_listing_removes_what_it_lacks_unless_that_is_newer) {
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -37,8 +37,8 @@
 /// How often members are probed.
 constexpr duration probe_period = milliseconds(500);
 constexpr duration probe_timeout = milliseconds(200);
-/// How long callers keep addresses; some keep them three times as long, which
-/// must end before a stopping daemon does.
+/// How long callers keep addresses; some keep them three times as long, also
+/// those of a daemon that is stopping.
 constexpr duration address_keep = milliseconds(5000);
 constexpr int keep_factor = 3;
 constexpr duration stop_poll = milliseconds(50);
