--- a/packages/fanout/include/medlarloft/fanout.hpp
+++ b/packages/fanout/include/medlarloft/fanout.hpp
@@ -27,8 +27,8 @@
 struct leaf_answer {
   int status = 0;
   /// The leaf's proof that it answered this request; empty: none.
-  std::string receipt;
-  /// Everything that is passed on unchanged, the receipt included.
+  std::string signature;
+  /// Everything that is passed on unchanged, the signature included.
   std::vector<header> headers;
   std::string body;
 };
--- a/packages/fanout/src/execution.cpp
+++ b/packages/fanout/src/execution.cpp
@@ -152,7 +152,7 @@
     const bool doubled =
         request_.route->gathers() &&
         std::ranges::any_of(shards_, [&answer](const shard_state& other) {
-          return other.answer && other.answer->receipt == answer.receipt;
+          return other.answer && other.answer->signature == answer.signature;
         });
     if (doubled) {
       shard.may_have_run = true;
--- a/packages/fanout/tests/execution_test.cpp
+++ b/packages/fanout/tests/execution_test.cpp
@@ -213,13 +213,13 @@
   execution run = one.make();
   run.start(start);
   const actions end = run.on_failure(
-      start, 1, ending::failed, leaf_answer{.status = 500, .receipt = "x"});
+      start, 1, ending::failed, leaf_answer{.status = 500, .signature = "x"});
   ASSERT_TRUE(end.done);
   EXPECT_EQ(end.done->what, verdict::answered);
   EXPECT_EQ(end.done->answers.at(0).status, 500);
 }
 
-TEST(execution, one_receipt_is_not_counted_twice) {
+TEST(execution, one_signature_is_not_counted_twice) {
   bench two(2, 0.5);
   execution run = two.make();
   run.start(start);
--- a/packages/fanout/tests/harness.hpp
+++ b/packages/fanout/tests/harness.hpp
@@ -13,9 +13,10 @@
 
 inline const time_point start = time_point{} + std::chrono::hours(1);
 
-inline leaf_answer part(std::string receipt, std::string body = "") {
-  return {
-      .status = 200, .receipt = std::move(receipt), .body = std::move(body)};
+inline leaf_answer part(std::string signature, std::string body = "") {
+  return {.status = 200,
+          .signature = std::move(signature),
+          .body = std::move(body)};
 }
 
 /// Leaf `10 * shard + n` is replica n of a shard; "s0" is the first service.
--- a/packages/peers/src/asio_stream.hpp
+++ b/packages/peers/src/asio_stream.hpp
@@ -14,7 +14,7 @@
 
 kj::Own<kj::AsyncIoStream> make_stream(boost::asio::ip::tcp::socket socket);
 
-/// Connects with a time limit; gives the socket or an error text.
+/// Connects with a timeout; gives the socket or an error text.
 void connect(
     boost::asio::io_context& context, const endpoint& to,
     const std::string& from_ip, duration limit,
--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -111,7 +111,7 @@
 
 /// What a leaf's answer says beside status and body.
 struct leaf_facts {
-  std::string receipt;
+  std::string signature;
   /// The leaf did not run the request.
   bool not_run = false;
   /// Another leaf has the address.
--- a/packages/tier/src/request_run.cpp
+++ b/packages/tier/src/request_run.cpp
@@ -223,7 +223,7 @@
     } else {
       const bool success =
           got.status >= status_ok && got.status < status_first_error;
-      if (success && said.receipt.empty()) {
+      if (success && said.signature.empty()) {
         how = leafs::ending::lost;
       } else {
         if (got.status >= status_first_server_error ||
@@ -231,7 +231,7 @@
           how = leafs::ending::failed;
         }
         answer = fanout::leaf_answer{.status = got.status,
-                                     .receipt = said.receipt,
+                                     .signature = said.signature,
                                      .headers = http::end_to_end_headers(got),
                                      .body = std::move(got.body)};
       }
