--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -109,6 +109,7 @@
     const mix_entry& kind = choose();
     auto one = std::make_shared<call>();
     one->intended = intended;
+    send_delays_.push_back(steady_clock::now() - intended);
     one->figure = kind.service;
     if (!kind.priority.empty()) one->figure += "/" + kind.priority;
     one->query = {.request_id = options_.name + "-" + std::to_string(index),
--- a/bench/load.hpp
+++ b/bench/load.hpp
@@ -68,6 +68,11 @@
   const std::map<std::string, front::outcome_kind>& once() const noexcept {
     return once_;
   }
+  /// How much later than intended each query was sent: what this process lost
+  /// to the machine itself, whatever the daemons did.
+  const std::vector<duration>& send_delays() const noexcept {
+    return send_delays_;
+  }
 
  private:
   struct call;
@@ -93,6 +98,7 @@
   std::vector<endpoint> addresses_;
   std::map<endpoint, std::vector<connection_ptr>> idle_;
   std::map<std::string, load_figures> figures_;
+  std::vector<duration> send_delays_;
   std::map<std::string, front::outcome_kind> once_;
   time_point began_;
   std::uint64_t total_ = 0;
--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -137,6 +137,10 @@
     sound = sound && seen.lost == 0 && seen.wrong == 0;
     if (absl::GetFlag(FLAGS_table)) print_row(name, all[name]);
   }
+  const std::vector<duration>& delays = load.send_delays();
+  std::printf("machine: sends delayed by p99 %.2f ms, at most %.2f ms\n",
+              milliseconds(bench::quantile(delays, 0.99)),
+              milliseconds(bench::quantile(delays, 1.0)));
   if (const std::string at = absl::GetFlag(FLAGS_record); !at.empty()) {
     const auto address = parse_endpoint(at);
     if (!address) return refuse("--record: " + address.error().text);
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -95,11 +95,27 @@
   return 1
 }
 
+# What this machine itself has withheld so far: ticks stolen by other machines
+# on the same hardware, and microseconds that some process waited for a core.
+machine_waits() {
+  awk 'FNR == 1 && FILENAME == "/proc/stat" {stolen = $9}
+       $1 == "some" {sub("total=", "", $5); waited = $5}
+       END {printf "%d %d", stolen, waited}' /proc/stat /proc/pressure/cpu
+}
+
 # load LENGTH NAME [flags]: callers in the first data centre.
 load() {
+  local stolen waited before after code=0
+  before=$(machine_waits 2> /dev/null || true)
   "$bin/medlarloft_load" --start "$start" --data_centre "$name-1" \
     --rate "${rate:-200}" --length "$1" --mix "$mix" --name "$2" \
-    --record "$steer" "${@:3}"
+    --record "$steer" "${@:3}" || code=$?
+  after=$(machine_waits 2> /dev/null || true)
+  read -r stolen waited <<< "$before"
+  awk -v s="${stolen:-0}" -v w="${waited:-0}" \
+    '{printf "machine: %d ticks stolen, %d ms waited for a core\n",
+             $1 - s, ($2 - w) / 1000}' <<< "${after:-0 0}"
+  return "$code"
 }
 
 steering() { curl -s -o /dev/null "http://$steer/$1"; }
