tier, http, platform: what all leafs of a gather get is written once; the loop takes no locks

Each of ten leafs got its own copy of the filtered headers. Change: the adapter tells what every leaf gets and what one leaf gets; one thread runs the loop, so Asio's locks are off. Ruled out: no look at a kept connection before its use (it finds closes that a paused process has not handled).

--- a/packages/http/include/medlarloft/http.hpp
+++ b/packages/http/include/medlarloft/http.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,8 +41,10 @@
 /// also those that its Connection header names.
 std::vector<header> end_to_end_headers(const message& received);
 
-/// Writes a request with its body; framing headers are added here.
-std::string to_request_text(const message& request);
+/// Writes a request with its body; framing headers are added here. `more` are
+/// headers beside those of the request.
+std::string to_request_text(const message& request,
+                            std::span<const header> more = {});
 
 /// What callers may send, and how long they may take.
 struct limits {
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -66,13 +66,17 @@
   return kept;
 }
 
-std::string to_request_text(const message& request) {
+std::string to_request_text(const message& request,
+                            std::span<const header> more) {
   std::string text;
   text.reserve(256 + request.body.size());
   text.append(request.method).append(" ").append(request.target);
   text.append(" HTTP/1.1\r\n");
-  for (const header& each : request.headers)
+  const auto write = [&text](const header& each) {
     text.append(each.name).append(": ").append(each.value).append("\r\n");
+  };
+  std::ranges::for_each(request.headers, write);
+  std::ranges::for_each(more, write);
   const bool has_body = !request.body.empty() || request.method == "POST" ||
                         request.method == "PUT" || request.method == "PATCH";
   if (has_body) {
--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -149,9 +149,12 @@
   std::function<record(std::string_view key, std::string_view value)> read;
 
   std::function<caller_facts(const http::message&)> read_caller;
-  std::function<http::message(const http::message& asked,
-                              const leafs::registration& to, duration left)>
-      leaf_request;
+  /// What every leaf gets of a caller's request.
+  std::function<http::message(const http::message& asked)> leaf_request;
+  /// The headers that one leaf gets beside it.
+  std::function<std::vector<header>(const leafs::registration& to,
+                                    duration left)>
+      leaf_headers;
   std::function<leaf_facts(const http::message&)> read_leaf;
   /// Whether a leaf's answer is one to the request with this id.
   std::function<bool(const http::message&, std::string_view request_id)>
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -160,7 +160,8 @@
   settings values;
   adapter words;
   std::uint64_t seed;
-  http::io_context loop{1};
+  // One thread runs it, so that it needs no locks.
+  http::io_context loop{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};
   loop::timer_queue timers{loop};
   event_log log;
   figures counts;
--- a/packages/tier/src/request_run.cpp
+++ b/packages/tier/src/request_run.cpp
@@ -75,6 +75,7 @@
     : context_(context),
       asked_(std::move(asked)),
       facts_(std::move(facts)),
+      passed_(context.words.leaf_request(asked_->request())),
       table_(std::move(table)),
       route_(route),
       began_(asked_->received_at()),
@@ -166,9 +167,9 @@
   open.call = context_.pool.send(
       wanted.leaf, to.address,
       [me = shared_from_this(), to] {
-        return http::to_request_text(me->context_.words.leaf_request(
-            me->asked_->request(), to,
-            me->caller_deadline_ - steady_clock::now()));
+        const duration left = me->caller_deadline_ - steady_clock::now();
+        return http::to_request_text(me->passed_,
+                                     me->context_.words.leaf_headers(to, left));
       },
       asked_->request().method,
       [me = shared_from_this()](const http::message& answer) {
--- a/packages/tier/src/request_run.hpp
+++ b/packages/tier/src/request_run.hpp
@@ -73,6 +73,8 @@
   traffic_context& context_;
   std::shared_ptr<http::exchange> asked_;
   caller_facts facts_;
+  /// The request as every leaf gets it.
+  http::message passed_;
   routes::table_ptr table_;
   const routes::route& route_;
   time_point began_;
