--- a/packages/tier/src/event_log.cpp
+++ b/packages/tier/src/event_log.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr duration flush_delay = std::chrono::milliseconds(50);
+/// What was left out is told once in this time, and at the end.
+constexpr duration left_out_period = std::chrono::seconds(1);
 
 std::string wall_text() {
   const auto now = std::chrono::floor<std::chrono::milliseconds>(
@@ -48,6 +50,7 @@
 }
 
 event_log::~event_log() {
+  tell_left_out();
   flush();
   timers_.cancel(timer_);
 }
@@ -83,6 +86,14 @@
     if (written <= 0) return;  // the reader is slow: later, or never
     buffer_.erase(0, static_cast<std::size_t>(written));
   }
+  if (dropped_lines_ + dropped_requests_ == 0) return;
+  const time_point now = steady_clock::now();
+  if (now < tell_left_out_at_) return;
+  tell_left_out_at_ = now + left_out_period;
+  tell_left_out();
+}
+
+void event_log::tell_left_out() {
   if (dropped_lines_ + dropped_requests_ == 0) return;
   const std::uint64_t lines = std::exchange(dropped_lines_, 0);
   const std::uint64_t requests = std::exchange(dropped_requests_, 0);
--- a/packages/tier/src/event_log.hpp
+++ b/packages/tier/src/event_log.hpp
@@ -39,11 +39,14 @@
   void flush();
 
  private:
+  void tell_left_out();
+
   loop::timer_queue& timers_;
   options options_;
   std::string buffer_;
   std::uint64_t dropped_lines_ = 0;
   std::uint64_t dropped_requests_ = 0;
+  time_point tell_left_out_at_{};
   token_bucket failed_;
   token_bucket served_;
   loop::timer_queue::handle timer_;
--- a/packages/tier/tests/event_log_test.cpp
+++ b/packages/tier/tests/event_log_test.cpp
@@ -58,6 +58,28 @@
   EXPECT_NE(read_all().find("event=log_left_out"), std::string::npos);
 }
 
+// Pattern: under load requests are left out all the time; one line a second
+// says how many.
+TEST_F(event_log_test, tells_once_a_second_what_was_left_out) {
+  {
+    event_log log(timers,
+                  {.id = "d1", .descriptor = ends[1], .served_per_second = 0});
+    for (int i = 0; i < 20; ++i) {
+      log.admits(steady_clock::now(), false);
+      log.write("event", {});
+      log.flush();
+    }
+  }
+  const std::string all = read_all();
+  const std::string wanted = "event=log_left_out";
+  const std::size_t first = all.find(wanted);
+  const std::size_t second = all.find(wanted, first + 1);
+  ASSERT_NE(second, std::string::npos);
+  EXPECT_EQ(all.find(wanted, second + 1), std::string::npos);
+  EXPECT_NE(all.find("requests=1\n"), std::string::npos);
+  EXPECT_NE(all.find("requests=19\n"), std::string::npos);
+}
+
 TEST_F(event_log_test, failed_requests_have_a_part_of_their_own) {
   event_log log(timers, {.id = "d1",
                          .descriptor = ends[1],
