leafs: requests in flight to a leaf are bounded by its slots

Change: twice the slots over all daemons, three for each at least; the rest waits in the daemon, where it can be given up in time (test of that load).

--- a/packages/leafs/include/medlarloft/leafs.hpp
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -113,6 +113,11 @@
     duration longest_ejection = std::chrono::seconds(2);
     /// Expected work until something was measured.
     duration first_guess = std::chrono::milliseconds(20);
+    /// Requests in flight to a leaf, over all daemons, for each of its slots;
+    /// the rest wait here, where they can go elsewhere or be given up in time.
+    double in_flight_per_slot = 2;
+    /// What one daemon may have in flight to a leaf at least.
+    std::size_t least_in_flight = 3;
     /// Requests to a cold leaf that all daemons may begin at once.
     std::uint32_t cold_burst = 5;
   };
@@ -188,6 +193,7 @@
                        const std::string& work) const;
   bool overdue(time_point now, const leaf& one) const;
   bool may_get(const leaf& one) const;
+  std::size_t most_in_flight(const leaf& one) const;
   std::optional<no_leaf> obstacle_of(time_point now, const leaf& one) const;
   double cost(time_point now, const leaf& one, const std::string& work) const;
   void learn(time_point now, leaf& one, const open_request& request);
--- a/packages/leafs/src/leaf_set.cpp
+++ b/packages/leafs/src/leaf_set.cpp
@@ -161,6 +161,15 @@
          !out_.contains(one.said.data_centre);
 }
 
+std::size_t leaf_set::most_in_flight(const leaf& one) const {
+  const double slots = options_.in_flight_per_slot * one.said.slots;
+  const auto daemons =
+      static_cast<double>(std::max<std::size_t>(part_.daemons, 1));
+  const auto fair = static_cast<std::size_t>(std::ceil(slots / daemons));
+  return std::min(std::max(fair, options_.least_in_flight),
+                  connections(one.said.service));
+}
+
 std::optional<no_leaf> leaf_set::obstacle_of(time_point now,
                                              const leaf& one) const {
   if (!may_get(one)) return no_leaf::none_registered;
@@ -168,7 +177,7 @@
   if (ejected && (now < one.ejected_until || one.trial_open)) {
     return no_leaf::all_dark;
   }
-  if (one.open.size() >= connections(one.said.service)) {
+  if (one.open.size() >= most_in_flight(one)) {
     return no_leaf::all_busy;
   }
   const auto limits = limits_.find(one.said.service);
--- a/packages/leafs/tests/leaf_set_test.cpp
+++ b/packages/leafs/tests/leaf_set_test.cpp
@@ -36,6 +36,33 @@
   attempt_id attempt = 0;
 };
 
+// Pattern: a burst meets a shard with one leaf left. Each of seven daemons could
+// hold four connections to it, so that 28 requests queued at four slots and all
+// were late. What a daemon keeps back it can still give up in time.
+TEST_F(leaf_set_test, a_burst_does_not_queue_at_the_last_leaf_of_a_shard) {
+  constexpr std::size_t daemons = 7;
+  set.set_limits("s", {.max_connections = 36});
+  set.set_share({.part = 1.0 / daemons, .daemons = daemons});
+  set.put(start, leaf("a"));
+  std::size_t in_flight = 0;
+  while (const auto picked = set.pick(start, "s", "w")) {
+    set.sent(start, picked.value(), ++attempt, "w");
+    ++in_flight;
+  }
+  EXPECT_EQ(in_flight, 3U);
+  EXPECT_EQ(set.pick(start, "s", "w").error(), no_leaf::all_busy);
+}
+
+TEST_F(leaf_set_test, a_daemon_alone_fills_the_slots_of_a_leaf_twice) {
+  set.put(start, leaf("a"));
+  std::size_t in_flight = 0;
+  while (const auto picked = set.pick(start, "s", "w")) {
+    set.sent(start, picked.value(), ++attempt, "w");
+    ++in_flight;
+  }
+  EXPECT_EQ(in_flight, 8U);
+}
+
 TEST_F(leaf_set_test, prefers_the_near_data_centre) {
   set.put(start, leaf("a", "far"));
   const leaf_handle near = set.put(start, leaf("b"));
