--- a/packages/leafs/tests/leaf_set_test.cpp
+++ b/packages/leafs/tests/leaf_set_test.cpp
@@ -36,9 +36,9 @@
   attempt_id attempt = 0;
 };
 
-// Pattern: a burst meets a shard with one leaf left. Each of seven daemons could
-// hold four connections to it, so that 28 requests queued at four slots and all
-// were late. What a daemon keeps back it can still give up in time.
+// Pattern: a burst meets a shard with one leaf left. Each of seven daemons
+// could hold four connections to it, so that 28 requests queued at four slots
+// and all were late. What a daemon keeps back it can still give up in time.
 TEST_F(leaf_set_test, a_burst_does_not_queue_at_the_last_leaf_of_a_shard) {
   constexpr std::size_t daemons = 7;
   set.set_limits("s", {.max_connections = 36});
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -1,27 +1,12 @@
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <map>
-#include <nlohmann/json.hpp>
 #include <random>
-#include <set>
 
-#include "address_choice.hpp"
-#include "event_log.hpp"
-#include "figures.hpp"
-#include "fleet_share.hpp"
-#include "fleet_state.hpp"
-#include "leaf_pool.hpp"
-#include "medlarloft/tier.hpp"
-#include "peer_link.hpp"
+#include "change_codec.hpp"
+#include "daemon_state.hpp"
 #include "read_pace.hpp"
-#include "request_run.hpp"
-#include "seconds_text.hpp"
-#include "stop_sequence.hpp"
-#include "store_reader.hpp"
-#include "watch_duty.hpp"
 
 namespace medlarloft::tier {
 namespace {
@@ -30,31 +15,15 @@
 using membership::member_state;
 using std::chrono::milliseconds;
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
-
 /// How often members are probed.
 constexpr duration probe_period = milliseconds(500);
 constexpr duration probe_timeout = milliseconds(200);
-/// How long callers keep addresses; some keep them three times as long, also
-/// those of a daemon that is stopping.
-constexpr duration address_keep = milliseconds(5000);
+/// Some callers keep addresses for this many times as long as they are told,
+/// also those of a daemon that is stopping.
 constexpr int keep_factor = 3;
+constexpr int status_ok = 200;
 constexpr duration stop_poll = milliseconds(50);
 constexpr duration sweep_period = milliseconds(500);
-/// Processor time of a request to a leaf with all that belongs to it, on a core
-/// of usual speed; docs/MEASUREMENTS.md.
-constexpr duration leaf_request_cost = std::chrono::microseconds(90);
-/// Weight of the newest estimate of the processor's use.
-constexpr double load_weight = 0.3;
-/// Loads are told in thousandths.
-constexpr double load_units = 1000.0;
-/// How often it is looked at who reads the store.
-constexpr duration duty_period = milliseconds(200);
-/// The same while this daemon can serve nobody.
-constexpr duration first_duty_period = milliseconds(40);
 /// Pause between calls that bring changes while there is no configuration.
 constexpr duration first_read_pause = milliseconds(100);
 /// After a start a daemon that is no seed hears others first.
@@ -62,12 +31,6 @@
 /// The same when the whole deployment starts for the first time: no caller
 /// waits yet, and seeds may start later than this daemon.
 constexpr duration first_deployment_wait = milliseconds(450);
-/// A daemon that has just started mostly knows a configuration soon; the
-/// longer it has none, the longer it will take.
-constexpr duration least_not_ready_retry = milliseconds(150);
-constexpr duration most_not_ready_retry = std::chrono::seconds(1);
-/// A gap between two turns of the loop that shows that the process stood still.
-constexpr duration stall_gap = std::chrono::seconds(2);
 /// Descriptors that are not for callers.
 constexpr std::size_t reserved_descriptors = 600;
 
@@ -98,101 +61,8 @@
           .random_seed = seed};
 }
 
-// Changes of the store between daemons: a list of key, revision and value.
-std::string write_changes(const std::vector<replica::change>& changes) {
-  nlohmann::json list = nlohmann::json::array();
-  for (const replica::change& each : changes) {
-    list.push_back(
-        {each.key, each.changed_at,
-         each.value ? nlohmann::json(*each.value) : nlohmann::json(nullptr)});
-  }
-  return list.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-std::optional<std::vector<replica::change>> read_changes(
-    const std::string& text) {
-  const auto list = nlohmann::json::parse(text, nullptr, false);
-  if (!list.is_array()) return std::nullopt;
-  std::vector<replica::change> changes;
-  for (const auto& each : list) {
-    const bool sound = each.is_array() && each.size() == 3 &&
-                       each[0].is_string() && each[1].is_number_unsigned() &&
-                       (each[2].is_null() || each[2].is_string());
-    if (!sound) return std::nullopt;
-    changes.push_back(
-        {each[0].get<std::string>(), each[1].get<replica::revision>(),
-         each[2].is_null() ? std::nullopt
-                           : std::optional(each[2].get<std::string>())});
-  }
-  return changes;
-}
-
 }  // namespace
 
-struct daemon::state {
-  state(settings given, adapter given_words);
-
-  result<void, tier_error> start();
-  void start_store();
-  void serve(std::shared_ptr<http::exchange> asked);
-  void serve_addresses(const std::shared_ptr<http::exchange>& asked);
-  void serve_readiness(const std::shared_ptr<http::exchange>& asked);
-  std::vector<endpoint> addresses_for(const address_question& asked) const;
-  void take_members(const membership::outputs& wanted);
-  void note_progress(const std::string& root);
-  void check_duty();
-  void send(const membership::envelope& each);
-  void tick_members();
-  void measure_load(time_point now);
-  void sweep();
-  void set_shares(time_point now);
-  void await_signal();
-  void on_signal(int number);
-  void begin_stop();
-  void await_end();
-  http::limits caller_limits() const;
-  duration not_ready_retry(time_point now) const {
-    return std::clamp<duration>((now - started_at) / 2, least_not_ready_retry,
-                                most_not_ready_retry);
-  }
-  bool ready() const { return !stop.begun() && fleet.ready(); }
-
-  time_point started_at = steady_clock::now();
-  settings values;
-  adapter words;
-  std::uint64_t seed;
-  // One thread runs it, so that it needs no locks.
-  http::io_context loop{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};
-  loop::timer_queue timers{loop};
-  event_log log;
-  figures counts;
-  leafs::leaf_set leafs;
-  fleet_state fleet;
-  leaf_pool pool;
-  fleet_share share;
-  fanout::retry_budget budget;
-  traffic_context traffic;
-  std::unique_ptr<membership::group> members;
-  std::shared_ptr<peer_link> link;
-  std::unique_ptr<store_reader> store;
-  watch_duty duty;
-  std::set<std::string> data_centres;
-  std::unique_ptr<http::server> callers;
-  std::unique_ptr<http::server> readiness;
-  std::unique_ptr<http::server> addresses;
-  std::unique_ptr<http::server> metrics_page;
-  boost::asio::signal_set signals{loop};
-  std::map<std::string, routes::split_chooser> splits;
-  std::function<std::optional<settings>()> reread;
-  loop::timer_queue::handle member_timer;
-  time_point last_sweep{};
-  /// Share of its processor that each daemon uses, as last heard.
-  std::map<std::string, double> loads;
-  std::uint64_t load_sent = 0;
-  time_point load_at = steady_clock::now();
-  stop_sequence stop;
-};
-
 daemon::state::state(settings given, adapter given_words)
     : values(std::move(given)),
       words(std::move(given_words)),
@@ -210,6 +80,9 @@
       share({.id = values.id,
              .capacity = capacity_of(values),
              .started = started_at}),
+      loads({.id = values.id,
+             .capacity = capacity_of(values),
+             .started = started_at}),
       budget({.ratio = values.retries.ratio,
               .slack = values.retries.slack,
               .window = values.retries.window,
@@ -223,17 +96,7 @@
                     : duration::zero()},
            steady_clock::now()),
       stop({.within = values.stop_within,
-            .kept_addresses =
-                std::min(address_keep, values.longest_keep) * keep_factor}) {}
-
-http::limits daemon::state::caller_limits() const {
-  if (!fleet.ready()) return {};
-  const routes::request_limits& limits = fleet.table()->source().limits;
-  return {.max_header_bytes = limits.max_header_bytes,
-          .max_body_bytes = limits.max_body_bytes,
-          .request_timeout = limits.header_timeout,
-          .idle_timeout = limits.idle_timeout};
-}
+            .kept_addresses = address_keep() * keep_factor}) {}
 
 void daemon::state::start_store() {
   store = std::make_unique<store_reader>(
@@ -316,7 +179,7 @@
       loop, timers, values.listen.control,
       [this](const membership::message& message) {
         duty.heard(steady_clock::now(), message.source_age);
-        loads[message.from] = message.load / load_units;
+        loads.heard(message.from, message.load);
         take_members(members->receive(steady_clock::now(), message));
       });
   if (auto began = link->start(); !began) return began.error();
@@ -335,214 +198,6 @@
   return outcome::success();
 }
 
-void daemon::state::take_members(const membership::outputs& wanted) {
-  for (const membership::envelope& each : wanted.sends)
-    send(each);
-  for (const membership::received_notes& each : wanted.notes) {
-    for (const notes::release_note& note : each.chain) {
-      const auto changes = read_changes(note.text);
-      if (!changes || note.version <= fleet.copy().upto()) continue;
-      const time_point now = steady_clock::now();
-      if (note.base == 0) {
-        fleet.apply_listing(now, *changes, note.version, each.from);
-      } else if (note.base <= fleet.copy().upto()) {
-        fleet.apply(now, *changes, note.version, each.from);
-      }
-      note_progress(each.root);
-    }
-  }
-  for (const membership::member_event& each : wanted.events) {
-    log.write("member", {{"member", each.id},
-                         {"state", membership::name_of(each.state)}});
-  }
-  if (!wanted.events.empty()) set_shares(steady_clock::now());
-  tick_members();
-}
-
-void daemon::state::send(const membership::envelope& each) {
-  membership::message told = each.message;
-  told.source_age = duty.age(steady_clock::now());
-  told.load = static_cast<std::uint16_t>(loads[values.id] * load_units);
-  link->send(each.to, told);
-}
-
-// A few daemons read the store for all; see watch_duty.
-void daemon::state::check_duty() {
-  const time_point now = steady_clock::now();
-  fleet.store_answers(now, duty.fresh(now));
-  const bool reads = duty.reads(now, *members, values.data_centre, values.id,
-                                data_centres.size());
-  if (reads != store->active()) {
-    log.write(reads ? "store_reading_begins" : "store_reading_ends",
-              {{"revision", fleet.copy().upto()}, {"fresh", duty.fresh(now)}});
-    store->set_active(reads, fleet.copy().upto());
-  }
-  timers.after(fleet.ready() ? duty_period : first_duty_period,
-               [this] { check_duty(); });
-}
-
-// Tells the group how far this daemon's copy of the store is. `root` is the
-// daemon at which the spreading of these changes began.
-void daemon::state::note_progress(const std::string& root) {
-  const replica::revision upto = fleet.copy().upto();
-  // One revision has one content, so the digest says nothing more.
-  auto wanted = members->set_note(steady_clock::now(), upto, upto, root,
-                                  root == values.id);
-  for (const membership::envelope& each : wanted.sends)
-    send(each);
-}
-
-void daemon::state::tick_members() {
-  timers.cancel(member_timer);
-  member_timer = timers.at(members->next_tick(), [this] {
-    member_timer = {};
-    take_members(members->tick(steady_clock::now()));
-  });
-}
-
-void daemon::state::sweep() {
-  const time_point now = steady_clock::now();
-  if (now - last_sweep > stall_gap) {
-    log.write("woke_late", {{"after", now - last_sweep}});
-    take_members(members->woke_late(now));
-  }
-  last_sweep = now;
-  measure_load(now);
-  fleet.tick(now);
-  pool.sweep(now,
-             [this](leafs::leaf_handle leaf) { return leafs.usable(leaf); });
-  set_shares(now);
-  timers.after(sweep_period, [this] { sweep(); });
-}
-
-// Limits are divided by every daemon that was there lately.
-void daemon::state::set_shares(time_point now) {
-  for (const member_record& each : members->members()) {
-    const bool here = each.state == member_state::alive ||
-                      each.state == member_state::suspected ||
-                      each.state == member_state::leaving;
-    if (!here) continue;
-    share.seen(now, each.id, each.capacity);
-    data_centres.insert(each.data_centre);
-  }
-  share.expire(now);
-  std::erase_if(
-      loads, [this](const auto& entry) { return !share.knows(entry.first); });
-  leafs.set_share(
-      {.part = share.connection_part(now),
-       .daemons = share.daemons(),
-       .rank = [this](std::string_view leaf) { return share.rank(leaf); }});
-  budget.set_part(share.part());
-}
-
-std::vector<endpoint> daemon::state::addresses_for(
-    const address_question& asked) const {
-  std::vector<address_candidate> candidates;
-  for (const member_record& each : members->members()) {
-    const bool self = each.id == values.id;
-    if (self ? !ready() : each.state != member_state::alive) continue;
-    const auto heard = loads.find(each.id);
-    candidates.push_back(
-        {.address = {each.control.ip, values.listen.callers.port},
-         .data_centre = each.data_centre,
-         .capacity = each.capacity,
-         .load = heard == loads.end() ? 0.0 : heard->second});
-  }
-  std::vector<endpoint> chosen =
-      choose_addresses(candidates, asked.data_centre);
-  if (chosen.empty() && !stop.begun()) chosen.push_back(values.listen.callers);
-  return chosen;
-}
-
-// Estimates how much of its processor this daemon uses. The clock of the
-// processor is no measure on hosts that give a process a share of a core.
-void daemon::state::measure_load(time_point now) {
-  const std::uint64_t sent = counts.value(count::leaf_requests);
-  const duration passed = now - load_at;
-  if (passed > duration::zero()) {
-    const double used = static_cast<double>(sent - load_sent) *
-                        std::chrono::duration<double>(leaf_request_cost) /
-                        std::chrono::duration<double>(passed);
-    const double share = used * load_units / capacity_of(values);
-    double& known = loads[values.id];
-    known += load_weight * (std::min(share, 1.0) - known);
-  }
-  load_sent = sent;
-  load_at = now;
-}
-
-void daemon::state::serve_addresses(
-    const std::shared_ptr<http::exchange>& asked) {
-  const auto question = words.read_address_question(asked->request());
-  if (!question) {
-    asked->respond({.status = status_not_found});
-    return;
-  }
-  const std::vector<endpoint> chosen = addresses_for(*question);
-  if (chosen.empty()) {
-    asked->respond({.status = status_unavailable});
-    return;
-  }
-  counts.add(count::address_answers);
-  asked->respond({.status = status_ok,
-                  .headers = {{"Content-Type", "application/json"}},
-                  .body = words.write_addresses(
-                      chosen, std::min(address_keep, values.longest_keep))});
-}
-
-void daemon::state::serve_readiness(
-    const std::shared_ptr<http::exchange>& asked) {
-  if (!words.asks_readiness(asked->request())) {
-    asked->respond({.status = status_not_found});
-    return;
-  }
-  asked->respond({.status = ready() ? status_ok : status_unavailable});
-}
-
-void daemon::state::serve(std::shared_ptr<http::exchange> asked) {
-  counts.add(count::requests);
-  const time_point now = steady_clock::now();
-  if (stop.phase(now, callers->running()) >= stop_phase::refusing) {
-    counts.add(count::refused_not_run);
-    asked->respond(
-        {.status = status_unavailable, .headers = {{"Retry-After", "0.05"}}});
-    return;
-  }
-  if (!fleet.ready()) {
-    counts.add(count::not_ready);
-    asked->respond(
-        {.status = status_unavailable,
-         .headers = {{"Retry-After", seconds_text(not_ready_retry(now))}}});
-    return;
-  }
-  caller_facts facts = words.read_caller(asked->request());
-  if (facts.request_id.empty()) {
-    asked->respond({.status = status_bad_request});
-    return;
-  }
-  const routes::table_ptr table = fleet.table();
-  const routes::route* route = table->find(facts.host, asked->request().target);
-  if (route == nullptr) {
-    counts.add(count::no_route);
-    if (log.admits(now, true)) {
-      log.write("no_route", {{"request", facts.request_id},
-                             {"host", facts.host},
-                             {"version", table->version()}});
-    }
-    asked->respond({.status = status_not_found});
-    return;
-  }
-  std::vector<std::string> services =
-      route->gathers()
-          ? route->shards
-          : std::vector{splits[route->name].next(route->split).service};
-  std::make_shared<request_run>(
-      traffic, std::move(asked), std::move(facts), table, *route,
-      std::move(services),
-      stop.begun() ? stop.last_answer() : time_point::max())
-      ->start();
-}
-
 void daemon::state::await_signal() {
   signals.async_wait([this](const auto& cancelled, int number) {
     if (cancelled) return;
--- /dev/null
+++ b/packages/tier/src/daemon_group.cpp
@@ -0,0 +1,122 @@
+#include <algorithm>
+
+#include "change_codec.hpp"
+#include "daemon_state.hpp"
+
+namespace medlarloft::tier {
+namespace {
+
+using membership::member_record;
+using membership::member_state;
+using std::chrono::milliseconds;
+
+constexpr duration sweep_period = milliseconds(500);
+/// How often it is looked at who reads the store.
+constexpr duration duty_period = milliseconds(200);
+/// The same while this daemon can serve nobody.
+constexpr duration first_duty_period = milliseconds(40);
+/// A gap between two turns of the loop that shows that the process stood still.
+constexpr duration stall_gap = std::chrono::seconds(2);
+
+}  // namespace
+
+void daemon::state::take_members(const membership::outputs& wanted) {
+  for (const membership::envelope& each : wanted.sends)
+    send(each);
+  for (const membership::received_notes& each : wanted.notes) {
+    for (const notes::release_note& note : each.chain) {
+      const auto changes = read_changes(note.text);
+      if (!changes || note.version <= fleet.copy().upto()) continue;
+      const time_point now = steady_clock::now();
+      if (note.base == 0) {
+        fleet.apply_listing(now, *changes, note.version, each.from);
+      } else if (note.base <= fleet.copy().upto()) {
+        fleet.apply(now, *changes, note.version, each.from);
+      }
+      note_progress(each.root);
+    }
+  }
+  for (const membership::member_event& each : wanted.events) {
+    log.write("member", {{"member", each.id},
+                         {"state", membership::name_of(each.state)}});
+  }
+  if (!wanted.events.empty()) set_shares(steady_clock::now());
+  tick_members();
+}
+
+void daemon::state::send(const membership::envelope& each) {
+  membership::message told = each.message;
+  told.source_age = duty.age(steady_clock::now());
+  told.load = loads.told();
+  link->send(each.to, told);
+}
+
+// A few daemons read the store for all; see watch_duty.
+void daemon::state::check_duty() {
+  const time_point now = steady_clock::now();
+  fleet.store_answers(now, duty.fresh(now));
+  const bool reads = duty.reads(now, *members, values.data_centre, values.id,
+                                data_centres.size());
+  if (reads != store->active()) {
+    log.write(reads ? "store_reading_begins" : "store_reading_ends",
+              {{"revision", fleet.copy().upto()}, {"fresh", duty.fresh(now)}});
+    store->set_active(reads, fleet.copy().upto());
+  }
+  timers.after(fleet.ready() ? duty_period : first_duty_period,
+               [this] { check_duty(); });
+}
+
+// Tells the group how far this daemon's copy of the store is. `root` is the
+// daemon at which the spreading of these changes began.
+void daemon::state::note_progress(const std::string& root) {
+  const replica::revision upto = fleet.copy().upto();
+  // One revision has one content, so the digest says nothing more.
+  auto wanted = members->set_note(steady_clock::now(), upto, upto, root,
+                                  root == values.id);
+  for (const membership::envelope& each : wanted.sends)
+    send(each);
+}
+
+void daemon::state::tick_members() {
+  timers.cancel(member_timer);
+  member_timer = timers.at(members->next_tick(), [this] {
+    member_timer = {};
+    take_members(members->tick(steady_clock::now()));
+  });
+}
+
+void daemon::state::sweep() {
+  const time_point now = steady_clock::now();
+  if (now - last_sweep > stall_gap) {
+    log.write("woke_late", {{"after", now - last_sweep}});
+    take_members(members->woke_late(now));
+  }
+  last_sweep = now;
+  loads.measure(now, counts.value(count::leaf_requests));
+  fleet.tick(now);
+  pool.sweep(now,
+             [this](leafs::leaf_handle leaf) { return leafs.usable(leaf); });
+  set_shares(now);
+  timers.after(sweep_period, [this] { sweep(); });
+}
+
+// Limits are divided by every daemon that was there lately.
+void daemon::state::set_shares(time_point now) {
+  for (const member_record& each : members->members()) {
+    const bool here = each.state == member_state::alive ||
+                      each.state == member_state::suspected ||
+                      each.state == member_state::leaving;
+    if (!here) continue;
+    share.seen(now, each.id, each.capacity);
+    data_centres.insert(each.data_centre);
+  }
+  share.expire(now);
+  loads.keep([this](const std::string& id) { return share.knows(id); });
+  leafs.set_share(
+      {.part = share.connection_part(now),
+       .daemons = share.daemons(),
+       .rank = [this](std::string_view leaf) { return share.rank(leaf); }});
+  budget.set_part(share.part());
+}
+
+}  // namespace medlarloft::tier
--- /dev/null
+++ b/packages/tier/tests/change_codec_test.cpp
@@ -0,0 +1,36 @@
+#include "change_codec.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace medlarloft::tier {
+namespace {
+
+RC_GTEST_PROP(change_codec, round_trips, ()) {
+  const auto text =
+      rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'));
+  const auto keys = *rc::gen::container<std::vector<std::string>>(text);
+  std::vector<replica::change> changes;
+  changes.reserve(keys.size());
+  for (const std::string& key : keys) {
+    changes.push_back(
+        {key, changes.size() + 1,
+         key.size() % 2 == 0 ? std::nullopt : std::optional(key + "=")});
+  }
+  RC_ASSERT(read_changes(write_changes(changes)) == changes);
+}
+
+class malformed_changes : public ::testing::TestWithParam<const char*> {};
+
+TEST_P(malformed_changes, are_refused) {
+  EXPECT_EQ(read_changes(GetParam()), std::nullopt);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all, malformed_changes,
+    ::testing::Values("", "{}", "[1]", "[[]]", R"([["k",1]])", R"([[1,1,"v"]])",
+                      R"([["k","1","v"]])", R"([["k",-1,"v"]])",
+                      R"([["k",1,2]])", R"([["k",1,"v",0]])"));
+
+}  // namespace
+}  // namespace medlarloft::tier
--- /dev/null
+++ b/packages/tier/tests/fleet_load_test.cpp
@@ -0,0 +1,42 @@
+#include "fleet_load.hpp"
+
+#include <gtest/gtest.h>
+
+namespace medlarloft::tier {
+namespace {
+
+const time_point start = time_point{} + std::chrono::hours(1);
+
+TEST(fleet_load, follows_the_requests_of_this_daemon) {
+  fleet_load load({.id = "d1", .capacity = 250, .started = start});
+  std::uint64_t sent = 0;
+  for (int second = 1; second <= 30; ++second) {
+    sent += 1000;
+    load.measure(start + std::chrono::seconds(second), sent);
+  }
+  // 1,000 a second at 90 us use 0.09 of a core, of 0.25.
+  EXPECT_NEAR(load.of("d1"), 0.36, 0.01);
+  EXPECT_NEAR(load.told(), 360, 10);
+}
+
+TEST(fleet_load, is_never_above_one) {
+  fleet_load load({.id = "d1", .capacity = 120, .started = start});
+  std::uint64_t sent = 0;
+  for (int second = 1; second <= 30; ++second) {
+    sent += 100'000;
+    load.measure(start + std::chrono::seconds(second), sent);
+  }
+  EXPECT_LE(load.of("d1"), 1.0);
+}
+
+TEST(fleet_load, takes_what_others_tell_until_they_are_unknown) {
+  fleet_load load({.id = "d1", .started = start});
+  load.heard("d2", 500);
+  EXPECT_EQ(load.of("d2"), 0.5);
+  EXPECT_EQ(load.of("d3"), 0.0);
+  load.keep([](const std::string& id) { return id != "d2"; });
+  EXPECT_EQ(load.of("d2"), 0.0);
+}
+
+}  // namespace
+}  // namespace medlarloft::tier
