--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -158,12 +158,15 @@
                     .headers = {{"Content-Type", "text/plain"}},
                     .body = counts.text(values.id)});
   });
-  for (auto* each :
-       {callers.get(), readiness.get(), addresses.get(), metrics_page.get()}) {
+  for (auto* each : {callers.get(), readiness.get(), addresses.get()}) {
     if (auto began = each->start(); !began) {
       return tier_error{tier_errc::cannot_start, began.error().text};
     }
   }
+  // Callers are served without metrics, too.
+  if (const auto began = metrics_page->start(); !began) {
+    log.write("metrics_not_served", {{"reason", began.error().text}});
+  }
   members = std::make_unique<membership::group>(
       group_options_of(values, mix64(seed, 3)),
       [this](notes::note_version from) {
