waiting, leafs, fanout: wait in order of rank; refuse at once what would be late

The rank of a route was not used at all. Change: packages/waiting: a line for each service, by chance to be in time, rank and objective, each fourth place to whoever is due first; a leaf that becomes free wakes the first. A request that would wait past its objective in too many shards is refused before anything runs, with the time by which it would be late as Retry-After, spread by id. In flight to a leaf is halved when it sheds, and below one becomes a pause.

--- a/packages/fanout/include/medlarloft/fanout.hpp
+++ b/packages/fanout/include/medlarloft/fanout.hpp
@@ -15,6 +15,7 @@
 #include "medlarloft/base.hpp"
 #include "medlarloft/leafs.hpp"
 #include "medlarloft/routes.hpp"
+#include "medlarloft/waiting.hpp"
 
 namespace medlarloft::fanout {
 
@@ -152,6 +153,10 @@
   std::vector<send_action> sends;
   std::vector<abandon_action> abandons;
   std::optional<final_outcome> done;
+  /// Shards for which the request began to wait for any leaf that is free,
+  /// and those for which it does so no more.
+  std::vector<std::size_t> waits;
+  std::vector<std::size_t> waits_no_more;
   /// When `on_timer` must be called at the latest.
   time_point wake_at = time_point::max();
 };
@@ -166,6 +171,9 @@
   std::function<duration(leaf_handle leaf)> expected;
   std::function<duration(leaf_handle leaf)> patience;
   std::function<attempt_id()> new_attempt;
+  /// What to expect of waiting for a leaf of the service; not set: it is
+  /// always tried.
+  std::function<waiting::estimate(const std::string& service)> estimate;
 };
 
 struct tally {
@@ -211,6 +219,8 @@
     /// Waits for a leaf that is free since then.
     std::optional<time_point> waiting_since;
     attempt_kind waiting_kind{};
+    /// It waits for any leaf of the service, in line with other requests.
+    bool in_line = false;
     bool may_have_run = false;
     bool given_up = false;
     std::optional<no_leaf> obstacle;
@@ -220,6 +230,10 @@
 
   bool try_send(time_point now, std::size_t index, attempt_kind kind);
   bool must_wait(const shard_state& shard, no_leaf why) const;
+  void begin_wait(time_point now, std::size_t index, attempt_kind kind);
+  void end_wait(std::size_t index);
+  duration overdue_by(time_point now, std::size_t index) const;
+  void refuse(std::string_view reason, duration retry_after);
   void send(time_point now, std::size_t index, leaf_handle leaf,
             attempt_kind kind);
   void after_failure(time_point now, std::size_t index, ending how);
--- a/packages/fanout/src/execution.cpp
+++ b/packages/fanout/src/execution.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <utility>
 
 #include "medlarloft/fanout.hpp"
@@ -7,8 +8,9 @@
 namespace medlarloft::fanout {
 namespace {
 
-/// How often a waiting request looks for a free leaf by itself.
-constexpr duration wait_step = std::chrono::milliseconds(5);
+/// How often a waiting request looks for a free leaf by itself: one may become
+/// free by time alone.
+constexpr duration wait_step = std::chrono::milliseconds(10);
 /// A leaf that refused without running may be asked again; in all, this many
 /// sends for each leaf that a request may be sent to.
 constexpr std::uint32_t sends_per_attempt = 2;
@@ -19,6 +21,11 @@
 /// Callers come back when a leaf that failed is due for its next trial.
 constexpr duration retry_when_dark = std::chrono::milliseconds(300);
 constexpr duration retry_when_busy = std::chrono::milliseconds(100);
+constexpr duration longest_retry_after = std::chrono::seconds(1);
+/// The last of many shards has this many times the mean wait.
+constexpr double last_of_many = 2.0;
+/// Callers that are refused at the same time come back over this share more.
+constexpr double retry_spread = 0.5;
 /// Shares are fractions of small numbers; this is below any difference.
 constexpr double share_tolerance = 1e-9;
 
@@ -50,6 +57,8 @@
       shards_(request_.services.size()) {}
 
 actions execution::start(time_point now) {
+  duration longest_overdue{};
+  std::size_t overdue = 0;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     const auto leaf = hooks_.pick(request_.services[i], {});
     if (leaf) {
@@ -58,20 +67,23 @@
     }
     shards_[i].obstacle = leaf.error();
     if (must_wait(shards_[i], leaf.error())) {
-      shards_[i].waiting_since = now;
-      shards_[i].waiting_kind = attempt_kind::first;
+      const duration late = overdue_by(now, i);
+      if (late > duration::zero()) ++overdue;
+      longest_overdue = std::max(longest_overdue, late);
+      begin_wait(now, i, attempt_kind::first);
     } else {
       give_up(i);
     }
-    // A gather that cannot cover enough is refused before anything runs.
+    // A request that cannot be served, or not in time, is refused before
+    // anything runs.
     const auto lost = static_cast<std::size_t>(
         std::ranges::count_if(shards_, &shard_state::given_up));
     if (!covered_enough(shards_.size() - lost)) {
-      pending_.sends.clear();
-      tally_ = {};
-      for (shard_state& shard : shards_)
-        shard.open.clear();
-      finish(verdict::not_run, leafs::name_of(leaf.error()));
+      refuse(leafs::name_of(leaf.error()), retry_when_dark);
+      return take(now);
+    }
+    if (!covered_enough(shards_.size() - lost - overdue)) {
+      refuse("line_too_long", longest_overdue);
       return take(now);
     }
   }
@@ -79,6 +91,48 @@
   return take(now);
 }
 
+// By how much the answer would miss its time if the shard is waited for.
+duration execution::overdue_by(time_point now, std::size_t index) const {
+  if (!hooks_.estimate) return duration::zero();
+  const waiting::estimate expected = hooks_.estimate(request_.services[index]);
+  const time_point answer =
+      now + scaled(expected.wait, last_of_many) + expected.work;
+  const duration objective = answer - request_.answer_by;
+  const duration patience = expected.wait - request_.longest_wait;
+  return std::max({objective, patience, duration::zero()});
+}
+
+void execution::refuse(std::string_view reason, duration retry_after) {
+  pending_.sends.clear();
+  tally_ = {};
+  for (shard_state& shard : shards_)
+    shard.open.clear();
+  finish(verdict::not_run, reason);
+  const double spread =
+      retry_spread * static_cast<double>(hash64(request_.id)) /
+      static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  pending_.done->retry_after = std::clamp(scaled(retry_after, 1 + spread),
+                                          retry_when_busy, longest_retry_after);
+}
+
+void execution::begin_wait(time_point now, std::size_t index,
+                           attempt_kind kind) {
+  shard_state& shard = shards_[index];
+  shard.waiting_since = now;
+  shard.waiting_kind = kind;
+  shard.in_line = shard.sends == 0 && shard.unreachable.empty();
+  if (shard.in_line) pending_.waits.push_back(index);
+}
+
+void execution::end_wait(std::size_t index) {
+  shard_state& shard = shards_[index];
+  shard.waiting_since.reset();
+  if (!std::exchange(shard.in_line, false)) return;
+  if (std::erase(pending_.waits, index) == 0) {
+    pending_.waits_no_more.push_back(index);
+  }
+}
+
 bool execution::must_wait(const shard_state& shard, no_leaf why) const {
   return why == no_leaf::all_busy && shard.open.empty();
 }
@@ -92,7 +146,7 @@
     shard.asked.push_back(leaf);
   }
   ++shard.sends;
-  shard.waiting_since.reset();
+  end_wait(index);
   ++tally_.sent;
   if (kind == attempt_kind::hedge) ++tally_.hedges;
   if (kind == attempt_kind::retry) ++tally_.retries;
@@ -128,8 +182,7 @@
   if (!leaf) {
     shard.obstacle = leaf.error();
     if (must_wait(shard, leaf.error()) && !shard.waiting_since) {
-      shard.waiting_since = now;
-      shard.waiting_kind = kind;
+      begin_wait(now, index, kind);
     }
     return false;
   }
@@ -228,7 +281,7 @@
     const bool busy = shard.obstacle == no_leaf::all_busy;
     const bool too_long = now - *shard.waiting_since >= request_.longest_wait;
     if (busy && !too_long) continue;
-    shard.waiting_since.reset();
+    end_wait(i);
     give_up(i);
   }
 }
@@ -305,6 +358,7 @@
       missing.silent.push_back(open.leaf);
     }
     shard.open.clear();
+    end_wait(i);
     if (shard.answer) {
       done.answers.push_back(std::move(*shard.answer));
       continue;
--- a/packages/fanout/tests/execution_test.cpp
+++ b/packages/fanout/tests/execution_test.cpp
@@ -164,6 +164,54 @@
 
 // Pattern: a leaf sheds. It did not run the request, so the same leaf may be
 // asked again when the route allows no other.
+// Pattern: a burst beyond what the leafs can do. A request that would wait past
+// its objective is refused at once, before any shard runs it, with the time at
+// which there will be room.
+TEST(execution, what_would_wait_past_its_objective_is_refused_at_once) {
+  bench ten(10, 0.89);
+  ten.obstacles[3] = no_leaf::all_busy;
+  ten.obstacles[7] = no_leaf::all_busy;
+  ten.waits = {.wait = milliseconds(300), .work = milliseconds(20)};
+  execution run = ten.make();
+  const actions first = run.start(start);
+  EXPECT_TRUE(first.sends.empty());
+  ASSERT_TRUE(first.done);
+  EXPECT_EQ(first.done->what, verdict::not_run);
+  EXPECT_GE(first.done->retry_after, milliseconds(300));
+  EXPECT_LE(first.done->retry_after, std::chrono::seconds(1));
+}
+
+TEST(execution, one_long_line_is_borne_while_coverage_allows) {
+  bench ten(10, 0.89);
+  ten.obstacles[3] = no_leaf::all_busy;
+  ten.waits = {.wait = milliseconds(300), .work = milliseconds(20)};
+  execution run = ten.make();
+  const actions first = run.start(start);
+  EXPECT_EQ(first.sends.size(), 9U);
+  EXPECT_EQ(first.waits, (std::vector<std::size_t>{3}));
+}
+
+TEST(execution, a_short_line_is_joined_and_left) {
+  bench two(2);
+  two.obstacles[1] = no_leaf::all_busy;
+  two.waits = {.wait = milliseconds(5), .work = milliseconds(10)};
+  execution run = two.make();
+  EXPECT_EQ(run.start(start).waits, (std::vector<std::size_t>{1}));
+  two.obstacles.clear();
+  const actions next = run.on_timer(start + milliseconds(6));
+  EXPECT_EQ(next.sends.size(), 1U);
+  EXPECT_EQ(next.waits_no_more, (std::vector<std::size_t>{1}));
+}
+
+TEST(execution, a_request_that_ends_leaves_the_line) {
+  bench two(2);
+  two.obstacles[1] = no_leaf::all_busy;
+  execution run = two.make();
+  run.start(start);
+  EXPECT_EQ(run.caller_left(start + milliseconds(1)).waits_no_more,
+            (std::vector<std::size_t>{1}));
+}
+
 TEST(execution, a_shed_request_may_return_to_a_leaf_that_did_not_run_it) {
   bench one(1);
   one.route.attempts = 1;
--- a/packages/fanout/tests/harness.hpp
+++ b/packages/fanout/tests/harness.hpp
@@ -70,7 +70,8 @@
                 },
             .expected = [](leaf_handle) { return milliseconds(10); },
             .patience = [](leaf_handle) { return milliseconds(30); },
-            .new_attempt = [this] { return ++next; }};
+            .new_attempt = [this] { return ++next; },
+            .estimate = [this](const std::string&) { return waits; }};
   }
 
   routes::route route;
@@ -80,6 +81,7 @@
   leaf_handle replicas = 3;
   std::size_t budget = 100;
   std::map<leaf_handle, no_leaf> obstacles;
+  waiting::estimate waits;
   attempt_id next = 0;
 
  private:
--- a/packages/leafs/include/medlarloft/leafs.hpp
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <span>
@@ -88,6 +89,14 @@
   std::span<const leaf_handle> only;
 };
 
+/// What a service does for one daemon that has requests waiting.
+struct service_pace {
+  /// From one request that ends to the next.
+  duration turn{};
+  /// How long a request is at its leaf.
+  duration at_leaf{};
+};
+
 struct leaf_view {
   registration said;
   bool usable = false;
@@ -96,6 +105,8 @@
   double slowness = 1;
 };
 
+class in_flight_limit;
+
 class leaf_set {
  public:
   struct options {
@@ -153,6 +164,11 @@
   duration patience(time_point now, leaf_handle leaf,
                     const std::string& work) const;
 
+  /// How fast this daemon's requests of the work pass through the service's
+  /// leafs when each has as many as it may get; nothing if none may get one.
+  std::optional<service_pace> pace(time_point now, const std::string& service,
+                                   const std::string& work) const;
+
   void measured_round_trip(const std::string& data_centre, duration value);
 
   const registration* find(leaf_handle leaf) const;
@@ -184,6 +200,7 @@
     bool trial_open = false;
     time_point cold_until{};
     token_bucket cold_tokens{{}};
+    std::shared_ptr<in_flight_limit> limit;
   };
 
   duration work_time(const std::string& work) const;
@@ -196,6 +213,8 @@
   std::size_t most_in_flight(const leaf& one) const;
   std::optional<no_leaf> obstacle_of(time_point now, const leaf& one) const;
   double cost(time_point now, const leaf& one, const std::string& work) const;
+  double slowdown(time_point now, const leaf& one,
+                  const open_request& request) const;
   void learn(time_point now, leaf& one, const open_request& request);
   void failed(time_point now, leaf& one, bool at_once);
   void reset_cold(time_point now, leaf& one);
--- a/packages/leafs/src/leaf_set.cpp
+++ b/packages/leafs/src/leaf_set.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <cmath>
 
+#include "in_flight_limit.hpp"
 #include "medlarloft/leafs.hpp"
 
 namespace medlarloft::leafs {
@@ -28,6 +29,8 @@
 /// Failures in a row after which a leaf gets only trials.
 constexpr std::uint32_t failures_to_eject = 2;
 constexpr std::uint32_t most_doublings = 4;
+/// No leaf works less on a request; it keeps ratios finite.
+constexpr duration least_work = std::chrono::microseconds(1);
 
 duration scaled(duration value, double factor) {
   return std::chrono::duration_cast<duration>(value * factor);
@@ -53,7 +56,9 @@
     remove(said.id);
   }
   const auto handle = static_cast<leaf_handle>(leafs_.size());
-  leafs_.push_back({.said = said, .cold_until = now + said.cold_left});
+  leafs_.push_back({.said = said,
+                    .cold_until = now + said.cold_left,
+                    .limit = std::make_shared<in_flight_limit>()});
   by_id_[said.id] = handle;
   by_service_[said.service].push_back(handle);
   reset_cold(now, leafs_.back());
@@ -177,7 +182,7 @@
   if (ejected && (now < one.ejected_until || one.trial_open)) {
     return no_leaf::all_dark;
   }
-  if (one.open.size() >= most_in_flight(one)) {
+  if (!one.limit->admits(now, one.open.size(), most_in_flight(one))) {
     return no_leaf::all_busy;
   }
   const auto limits = limits_.find(one.said.service);
@@ -266,6 +271,7 @@
       std::ranges::find(one.open, attempt, &open_request::attempt);
   if (found == one.open.end()) return;
   const open_request request = *found;
+  const std::size_t in_flight = one.open.size();
   one.open.erase(found);
   one.trial_open = false;
   const bool bad = how != ending::answered && how != ending::abandoned;
@@ -275,6 +281,7 @@
   switch (how) {
     case ending::answered:
       one.failures = 0;
+      one.limit->answered(now, in_flight, request.expected);
       learn(now, one, request);
       break;
     case ending::failed:
@@ -287,18 +294,27 @@
       failed(now, one, true);
       break;
     case ending::shed:
+      one.limit->shed(now, in_flight, request.expected);
+      break;
     case ending::abandoned:
       break;
   }
 }
 
+// How many times the usual time the request took at the leaf.
+double leaf_set::slowdown(time_point now, const leaf& one,
+                          const open_request& request) const {
+  const duration took =
+      std::max(now - request.sent_at - round_trip(one), least_work);
+  return std::chrono::duration<double>(took) / work_time(request.work);
+}
+
 // A pause delays every request that was open during it. These are one event,
 // which says nothing about requests sent later; two events in a row do.
 void leaf_set::learn(time_point now, leaf& one, const open_request& request) {
-  const duration base = work_time(request.work);
   const duration took =
-      std::max(now - request.sent_at - round_trip(one), duration(1000));
-  const double factor = std::chrono::duration<double>(took) / base;
+      std::max(now - request.sent_at - round_trip(one), least_work);
+  const double factor = slowdown(now, one, request);
   const double known = slowness(now, one);
   if (factor > options_.outlier_factor * known) {
     if (request.sent_at < one.last_outlier) return;
@@ -327,6 +343,29 @@
                      options_.longest_ejection);
 }
 
+std::optional<service_pace> leaf_set::pace(time_point now,
+                                           const std::string& service,
+                                           const std::string& work) const {
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) return std::nullopt;
+  using seconds = std::chrono::duration<double>;
+  double places = 0;
+  double ends_per_second = 0;
+  for (const leaf_handle handle : found->second) {
+    const leaf& one = leafs_[handle];
+    const bool dark = one.failures >= failures_to_eject;
+    if (!may_get(one) || dark || now < one.cold_until) continue;
+    const double held = one.limit->places(most_in_flight(one));
+    places += held;
+    ends_per_second += held / seconds(expected_at(now, one, work)).count();
+  }
+  if (ends_per_second <= 0) return std::nullopt;
+  return service_pace{.turn = std::chrono::duration_cast<duration>(
+                          seconds(1 / ends_per_second)),
+                      .at_leaf = std::chrono::duration_cast<duration>(
+                          seconds(places / ends_per_second))};
+}
+
 void leaf_set::measured_round_trip(const std::string& data_centre,
                                    duration value) {
   duration& known = round_trips_.try_emplace(data_centre, value).first->second;
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -87,7 +87,7 @@
               .slack = values.retries.slack,
               .window = values.retries.window,
               .part = share.part()}),
-      traffic{timers, words, leafs, pool, budget, log, counts},
+      traffic{timers, words, leafs, pool, budget, line, log, counts},
       duty({.first_wait =
                 std::ranges::find(values.seeds, values.listen.control) ==
                         values.seeds.end()
--- a/packages/tier/src/daemon_state.hpp
+++ b/packages/tier/src/daemon_state.hpp
@@ -67,6 +67,7 @@
   fleet_share share;
   fleet_load loads;
   fanout::retry_budget budget;
+  waiting::line line;
   traffic_context traffic;
   std::unique_ptr<membership::group> members;
   std::shared_ptr<peer_link> link;
--- a/packages/tier/src/request_run.cpp
+++ b/packages/tier/src/request_run.cpp
@@ -85,14 +85,17 @@
                                                  : default_wait)),
       execution_(plan(route, facts_.request_id, std::move(services), began_,
                       caller_deadline_, last_answer),
-                 choices()) {}
+                 choices()),
+      choice_(context.leafs, context.line,
+              {.work = route.name,
+               .rank = route.rank,
+               .due = execution_.asked().answer_by}) {}
 
 fanout::hooks request_run::choices() {
   return {.pick =
               [this](const std::string& service,
                      const leafs::pick_options& limits) {
-                return context_.leafs.pick(steady_clock::now(), service,
-                                           route_.name, limits);
+                return choice_.pick(steady_clock::now(), service, limits);
               },
           .take_extra =
               [this](const std::string& service) {
@@ -111,7 +114,23 @@
                 return context_.leafs.patience(steady_clock::now(), leaf,
                                                route_.name);
               },
-          .new_attempt = [this] { return ++context_.next_attempt; }};
+          .new_attempt = [this] { return ++context_.next_attempt; },
+          .estimate =
+              [this](const std::string& service) {
+                return choice_.expect(steady_clock::now(), service);
+              }};
+}
+
+void request_run::follow_waits(const fanout::actions& wanted) {
+  const std::vector<std::string>& services = execution_.asked().services;
+  std::ranges::for_each(wanted.waits_no_more, [&](std::size_t shard) {
+    choice_.leave(services[shard]);
+  });
+  std::ranges::for_each(wanted.waits, [&](std::size_t shard) {
+    choice_.join(services[shard], [me = shared_from_this()] {
+      me->carry_out(me->execution_.on_timer(steady_clock::now()));
+    });
+  });
 }
 
 void request_run::start() {
@@ -126,6 +145,7 @@
 
 void request_run::carry_out(fanout::actions wanted) {
   context_.timers.cancel(timer_);
+  follow_waits(wanted);
   for (const fanout::send_action& each : wanted.sends)
     send(each);
   for (const fanout::abandon_action& each : wanted.abandons)
@@ -244,12 +264,14 @@
       std::ranges::find(history_, attempt, &attempt_record::attempt);
   past->ending = how;
   past->took = now - past->sent_at;
-  if (open.abandoned || execution_.finished()) return;
-  if (how == leafs::ending::answered) {
-    carry_out(execution_.on_answer(now, attempt, std::move(*answer)));
-  } else {
-    carry_out(execution_.on_failure(now, attempt, how, std::move(answer)));
+  const std::string& service = execution_.asked().services[past->shard];
+  if (!open.abandoned && !execution_.finished()) {
+    carry_out(
+        how == leafs::ending::answered
+            ? execution_.on_answer(now, attempt, std::move(*answer))
+            : execution_.on_failure(now, attempt, how, std::move(answer)));
   }
+  waiting::leaf_choice::freed(now, context_.leafs, context_.line, service);
 }
 
 http::message request_run::answer_for(const fanout::final_outcome& done) const {
--- a/packages/tier/src/request_run.hpp
+++ b/packages/tier/src/request_run.hpp
@@ -20,6 +20,7 @@
   leafs::leaf_set& leafs;
   leaf_pool& pool;
   fanout::retry_budget& budget;
+  waiting::line& line;
   event_log& log;
   figures& counts;
   leafs::attempt_id next_attempt = 0;
@@ -59,6 +60,7 @@
   };
 
   fanout::hooks choices();
+  void follow_waits(const fanout::actions& wanted);
   void carry_out(fanout::actions wanted);
   void send(const fanout::send_action& wanted);
   void abandon(const fanout::abandon_action& wanted);
@@ -81,6 +83,7 @@
   /// Until then the caller waits; leafs are told what is left of it.
   time_point caller_deadline_;
   fanout::execution execution_;
+  waiting::leaf_choice choice_;
   std::unordered_map<leafs::attempt_id, open_attempt> attempts_;
   std::vector<attempt_record> history_;
   loop::timer_queue::handle timer_;
--- /dev/null
+++ b/packages/waiting/tests/line_test.cpp
@@ -0,0 +1,144 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <tuple>
+
+#include "medlarloft/waiting.hpp"
+
+namespace medlarloft::waiting {
+namespace {
+
+using std::chrono::milliseconds;
+
+const time_point start = time_point{} + std::chrono::hours(1);
+
+/// A line whose waiters take one leaf each and note their names.
+class line_test : public ::testing::Test {
+ protected:
+  void join(int name, std::uint32_t rank, duration due) {
+    auto own = std::make_shared<ticket>();
+    *own = all.join(
+        "s", {.rank = rank, .due = start + due, .wake = [this, name, own] {
+                served.push_back(name);
+                all.leave("s", *own);
+              }});
+  }
+
+  void free_places(int count) {
+    all.freed(start, "s", [&count] { return count-- > 0; });
+  }
+
+  line all;
+  std::vector<int> served;
+};
+
+TEST_F(line_test, the_most_urgent_rank_goes_first) {
+  join(1, 2, milliseconds(10));
+  join(2, 1, milliseconds(90));
+  free_places(2);
+  EXPECT_EQ(served, (std::vector{2, 1}));
+}
+
+TEST_F(line_test, of_one_rank_the_earliest_objective_goes_first) {
+  join(1, 1, milliseconds(90));
+  join(2, 1, milliseconds(10));
+  free_places(2);
+  EXPECT_EQ(served, (std::vector{2, 1}));
+}
+
+// Pattern: overload. Who is late already would make all others late, too.
+TEST_F(line_test, those_that_can_be_in_time_go_before_late_ones) {
+  join(1, 1, milliseconds(-5));
+  join(2, 1, milliseconds(20));
+  join(3, 2, milliseconds(20));
+  free_places(3);
+  EXPECT_EQ(served, (std::vector{2, 3, 1}));
+}
+
+// Pattern: the urgent rank alone is more than the leafs can do.
+TEST_F(line_test, a_low_rank_gets_each_fourth_place) {
+  for (int i = 0; i < 8; ++i)
+    join(i, 1, milliseconds(50));
+  join(8, 2, milliseconds(10));
+  join(9, 2, milliseconds(11));
+  free_places(8);
+  EXPECT_EQ(served, (std::vector{0, 1, 2, 8, 3, 4, 5, 9}));
+}
+
+TEST_F(line_test, nobody_is_woken_without_room) {
+  join(1, 1, milliseconds(10));
+  free_places(0);
+  EXPECT_TRUE(served.empty());
+  EXPECT_EQ(all.size(), 1U);
+}
+
+TEST_F(line_test, a_waiter_that_cannot_use_the_place_ends_the_round) {
+  int woken = 0;
+  all.join("s", {.due = start, .wake = [&woken] { ++woken; }});
+  join(2, 1, milliseconds(10));
+  all.freed(start, "s", [] { return true; });
+  EXPECT_EQ(woken, 1);
+  EXPECT_TRUE(served.empty());
+}
+
+TEST_F(line_test, counts_those_that_would_go_before) {
+  join(1, 1, milliseconds(10));
+  join(2, 1, milliseconds(30));
+  join(3, 2, milliseconds(1));
+  EXPECT_EQ(all.ahead(start, "s", 1, start + milliseconds(20)), 1U);
+  EXPECT_EQ(all.ahead(start, "s", 2, start + milliseconds(20)), 3U);
+  EXPECT_EQ(all.ahead(start, "other", 2, start), 0U);
+}
+
+struct named {
+  std::uint32_t rank = 0;
+  time_point due;
+  std::size_t number = 0;
+};
+
+// The order as it is described, found by looking at everybody each time.
+std::vector<std::size_t> order_of(std::vector<named> waiting) {
+  std::vector<std::size_t> order;
+  for (std::size_t turn = 0; !waiting.empty(); ++turn) {
+    const bool fair = turn % 4 == 3;
+    const auto next =
+        std::ranges::min_element(waiting, {}, [fair](const named& each) {
+          const std::uint32_t rank = fair ? 0 : each.rank;
+          return std::tuple(each.due < start, rank, each.due, each.number);
+        });
+    order.push_back(next->number);
+    waiting.erase(next);
+  }
+  return order;
+}
+
+TEST(line, every_history_is_served_in_the_order_described) {
+  rc::check([] {
+    line all;
+    std::vector<named> joined;
+    std::map<std::size_t, ticket> tickets;
+    std::vector<std::size_t> served;
+    const auto count = *rc::gen::inRange<std::size_t>(1, 40);
+    for (std::size_t i = 0; i < count; ++i) {
+      joined.push_back(
+          {.rank = *rc::gen::inRange<std::uint32_t>(0, 3),
+           .due = start + milliseconds(*rc::gen::inRange(-20, 100)),
+           .number = i});
+      tickets[i] = all.join("s", {.rank = joined.back().rank,
+                                  .due = joined.back().due,
+                                  .wake = [&, i] {
+                                    served.push_back(i);
+                                    all.leave("s", tickets[i]);
+                                  }});
+    }
+    all.freed(start, "s", [] { return true; });
+    RC_ASSERT(served == order_of(joined));
+    RC_ASSERT(all.size() == 0U);
+  });
+}
+
+}  // namespace
+}  // namespace medlarloft::waiting
