--- a/packages/fanout/tests/execution_test.cpp
+++ b/packages/fanout/tests/execution_test.cpp
@@ -298,7 +298,7 @@
 // that may run was handed to a leaf; at most `attempts` leafs that may have
 // run it for each shard; at most one for a request that runs at most once.
 TEST(execution, every_history_ends_once_and_truthfully) {
-  rc::check([] {
+  EXPECT_TRUE(rc::check([] {
     const auto shards = *rc::gen::inRange<std::size_t>(1, 5);
     bench all(shards, 0.5);
     const bool once = shards == 1 && *rc::gen::arbitrary<bool>();
@@ -354,7 +354,7 @@
     for (const auto& [shard, leafs] : may_have_run) {
       RC_ASSERT(leafs.size() <= (once ? 1U : all.route.attempts));
     }
-  });
+  }));
 }
 
 }  // namespace
--- a/packages/fanout/tests/records_test.cpp
+++ b/packages/fanout/tests/records_test.cpp
@@ -35,22 +35,23 @@
 }
 
 TEST(greatest_records, equals_a_full_sort) {
-  rc::check([](const std::vector<std::string>& bodies, std::uint8_t limit) {
-    std::vector<leaf_answer> parts;
-    std::vector<std::string> all;
-    for (const std::string& body : bodies) {
-      parts.push_back({.body = body});
-      for (std::size_t at = 0; at + record_bytes <= body.size();
-           at += record_bytes)
-        all.push_back(body.substr(at, record_bytes));
-    }
-    std::ranges::sort(all, std::greater<>{});
-    all.resize(std::min<std::size_t>(all.size(), limit));
-    std::string expected;
-    for (const std::string& each : all)
-      expected += each;
-    RC_ASSERT(greatest_records(parts, limit) == expected);
-  });
+  EXPECT_TRUE(
+      rc::check([](const std::vector<std::string>& bodies, std::uint8_t limit) {
+        std::vector<leaf_answer> parts;
+        std::vector<std::string> all;
+        for (const std::string& body : bodies) {
+          parts.push_back({.body = body});
+          for (std::size_t at = 0; at + record_bytes <= body.size();
+               at += record_bytes)
+            all.push_back(body.substr(at, record_bytes));
+        }
+        std::ranges::sort(all, std::greater<>{});
+        all.resize(std::min<std::size_t>(all.size(), limit));
+        std::string expected;
+        for (const std::string& each : all)
+          expected += each;
+        RC_ASSERT(greatest_records(parts, limit) == expected);
+      }));
 }
 
 }  // namespace
--- a/packages/fanout/tests/retry_budget_test.cpp
+++ b/packages/fanout/tests/retry_budget_test.cpp
@@ -50,7 +50,7 @@
 // Differential: whatever the traffic of all daemons, no window of the naive
 // count holds more extras than the users' limit.
 TEST(retry_budget, no_window_of_all_daemons_exceeds_the_limit) {
-  rc::check([] {
+  EXPECT_TRUE(rc::check([] {
     constexpr std::size_t daemons = 3;
     constexpr double ratio = 0.2;
     constexpr double slack = 12;
@@ -81,7 +81,7 @@
       RC_ASSERT(static_cast<double>(in_window(extras, end)) <=
                 ratio * static_cast<double>(in_window(requests, end)) + slack);
     }
-  });
+  }));
 }
 
 }  // namespace
--- a/packages/leafs/tests/leaf_set_test.cpp
+++ b/packages/leafs/tests/leaf_set_test.cpp
@@ -169,7 +169,7 @@
 // Pattern: cold leafs. Whatever all daemons want, in no second they send a
 // cold leaf more than the users' bound, 1.5 times its rate and 5 more.
 TEST(leaf_set_cold, all_daemons_together_keep_the_bound_of_a_cold_leaf) {
-  rc::check([] {
+  EXPECT_TRUE(rc::check([] {
     const auto daemons = *rc::gen::inRange<std::size_t>(1, 70);
     const double rate = *rc::gen::inRange(1, 40);
     std::vector<leaf_set> all;
@@ -201,7 +201,7 @@
       });
       RC_ASSERT(static_cast<double>(count) <= 1.5 * rate + 5);
     }
-  });
+  }));
 }
 
 }  // namespace
--- a/packages/replica/tests/replica_test.cpp
+++ b/packages/replica/tests/replica_test.cpp
@@ -91,8 +91,9 @@
 
 // Any order of whole batches from the platform and from peers ends alike.
 TEST(store_copy, histories_converge_whatever_the_order) {
-  rc::check([](const std::vector<std::pair<std::uint8_t, bool>>& steps,
-               std::uint64_t order) {
+  EXPECT_TRUE(rc::check([](const std::vector<std::pair<std::uint8_t, bool>>&
+                               steps,
+                           std::uint64_t order) {
     std::vector<change> history;
     std::map<std::string, std::string> model;
     for (const auto& [key, kept] : steps) {
@@ -113,7 +114,7 @@
     for (const change& each : shuffled)
       copy.apply(start, {each}, each.changed_at);
     RC_ASSERT(contents(copy) == model);
-  });
+  }));
 }
 
 }  // namespace
--- a/packages/tier/tests/fleet_share_test.cpp
+++ b/packages/tier/tests/fleet_share_test.cpp
@@ -52,7 +52,7 @@
 }
 
 TEST(fleet_share, the_parts_of_all_add_up_to_one_at_most) {
-  rc::check([](const std::vector<std::uint16_t>& told) {
+  EXPECT_TRUE(rc::check([](const std::vector<std::uint16_t>& told) {
     std::vector<std::uint32_t> all;
     std::ranges::transform(told, std::back_inserter(all),
                            [](std::uint16_t each) { return each + 1U; });
@@ -61,7 +61,7 @@
           return so_far + share_of(own, all).part();
         });
     RC_ASSERT(sum <= 1.0 + 1e-9);
-  });
+  }));
 }
 
 // Pattern: all hosts lose power and return within seconds. Leafs still count
--- a/packages/waiting/tests/line_test.cpp
+++ b/packages/waiting/tests/line_test.cpp
@@ -116,7 +116,7 @@
 }
 
 TEST(line, every_history_is_served_in_the_order_described) {
-  rc::check([] {
+  EXPECT_TRUE(rc::check([] {
     line all;
     std::vector<named> joined;
     std::map<std::size_t, ticket> tickets;
@@ -137,7 +137,7 @@
     all.freed(start, "s", [] { return true; });
     RC_ASSERT(served == order_of(joined));
     RC_ASSERT(all.size() == 0U);
-  });
+  }));
 }
 
 }  // namespace
