soak, tier: faults on what daemons tell each other; settings: an announced control address

Cause: the soak hurt processes, store and leafs, not the way between daemons. Change: listen.control_announced says where others reach the control address (the same unless given); in the soak that is a proxy for datagrams and connections, so that some daemons hear nothing of the others, or hear them late, while what they say arrives. These faults are drawn apart: the plans of seeds that once failed stay as they were.

--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -41,6 +41,8 @@
     endpoint addresses;
     /// Daemons among themselves.
     endpoint control;
+    /// Where the others reach `control`; the same unless the settings say so.
+    endpoint control_announced;
     /// Counters and histograms as text; port 0: not served.
     endpoint metrics;
   } listen;
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -52,7 +52,7 @@
                            .count();
   return {.self = {.id = values.id,
                    .data_centre = values.data_centre,
-                   .control = values.listen.control,
+                   .control = values.listen.control_announced,
                    .incarnation = static_cast<std::uint64_t>(started),
                    .capacity = capacity_of(values)},
           .seeds = values.seeds,
@@ -88,12 +88,12 @@
               .window = values.retries.window,
               .part = share.part()}),
       traffic{timers, words, leafs, pool, budget, line, log, counts},
-      duty({.first_wait =
-                std::ranges::find(values.seeds, values.listen.control) ==
-                        values.seeds.end()
-                    ? (values.first_deployment ? first_deployment_wait
-                                               : first_wait)
-                    : duration::zero()},
+      duty({.first_wait = std::ranges::find(values.seeds,
+                                            values.listen.control_announced) ==
+                                  values.seeds.end()
+                              ? (values.first_deployment ? first_deployment_wait
+                                                         : first_wait)
+                              : duration::zero()},
            steady_clock::now()),
       stop({.within = values.stop_within,
             .kept_addresses = address_keep() * keep_factor}) {}
--- a/packages/tier/src/settings.cpp
+++ b/packages/tier/src/settings.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "medlarloft/tier.hpp"
@@ -88,6 +89,11 @@
     }
   }
 
+  /// Leaves the value as it is where the settings say nothing of it.
+  void read_if_there(const std::string& path, endpoint& into) {
+    if (has(path)) read(path, into);
+  }
+
   const std::optional<document_error>& problem() const { return problem_; }
 
  private:
@@ -106,6 +112,12 @@
     return at;
   }
 
+  bool has(const std::string& path) const {
+    std::string pointer = "/" + path;
+    std::ranges::replace(pointer, '.', '/');
+    return root_.contains(json::json_pointer(pointer));
+  }
+
   void fail(const std::string& path, const json& value, std::string reason) {
     if (problem_) return;
     problem_ = document_error{document_errc::value, path,
@@ -130,6 +142,9 @@
   from.read("listen.readiness", values.listen.readiness);
   from.read("listen.addresses", values.listen.addresses);
   from.read("listen.control", values.listen.control);
+  values.listen.control_announced = values.listen.control;
+  from.read_if_there("listen.control_announced",
+                     values.listen.control_announced);
   from.read("listen.metrics", values.listen.metrics);
   from.read("seeds", values.seeds);
   from.read("store", values.store);
--- a/packages/tier/tests/settings_test.cpp
+++ b/packages/tier/tests/settings_test.cpp
@@ -32,6 +32,16 @@
   EXPECT_EQ(read.value().stop_within, std::chrono::seconds(6));
 }
 
+TEST(tier_settings, others_reach_the_control_address_unless_another_is_given) {
+  EXPECT_EQ(read_settings(text()).value().listen.control_announced,
+            (endpoint{"10.0.0.1", 83}));
+  std::string other = text();
+  other.insert(other.find("\"metrics\""),
+               "\"control_announced\":\"10.0.0.7:93\",");
+  EXPECT_EQ(read_settings(other).value().listen.control_announced,
+            (endpoint{"10.0.0.7", 93}));
+}
+
 TEST(tier_settings, names_the_value_that_is_impossible) {
   const auto read = read_settings(text("nowhere"));
   ASSERT_FALSE(read);
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint16_t directory_port = 7002;
 constexpr std::uint16_t control_port = 7003;
 constexpr std::uint16_t metrics_port = 7004;
+/// Where the other daemons reach the control address, through a proxy.
+constexpr std::uint16_t announced_port = 7103;
 constexpr std::uint16_t leaf_port = 8080;
 constexpr std::size_t single_leafs = 6;
 constexpr std::size_t seeds = 3;
@@ -78,6 +80,12 @@
     daemon_process made{.id = "d" + std::to_string(i),
                         .data_centre = data_centre_name(i),
                         .ip = loopback(options_.net + daemon_net, i)};
+    const endpoint announced{made.ip, announced_port};
+    const endpoint control{made.ip, control_port};
+    peer_links_.push_back(
+        std::make_unique<link>(loop_, timers_, announced, control));
+    peer_datagrams_.push_back(
+        std::make_unique<datagram_link>(loop_, timers_, announced, control));
     made.settings_path = options_.folder + "/" + made.id + ".json";
     daemons_.push_back(std::move(made));
   }
@@ -208,7 +216,7 @@
   };
   json first = json::array();
   for (std::size_t i = 0; i < std::min(seeds, daemons_.size()); ++i)
-    first.push_back(format_endpoint({daemons_[i].ip, control_port}));
+    first.push_back(format_endpoint({daemons_[i].ip, announced_port}));
   const json settings = {
       {"id", own.id},
       {"data_centre", own.data_centre},
@@ -218,6 +226,7 @@
         {"readiness", at(readiness_port)},
         {"addresses", at(directory_port)},
         {"control", at(control_port)},
+        {"control_announced", at(announced_port)},
         {"metrics", at(metrics_port)}}},
       {"seeds", std::move(first)},
       {"store", format_endpoint(store_links_[index]->listens())},
@@ -236,6 +245,11 @@
   return settings.dump(1);
 }
 
+void deployment::set_peers_link(std::size_t index, link_mode mode) {
+  peer_links_[index]->set_mode(mode);
+  peer_datagrams_[index]->set_mode(mode);
+}
+
 void deployment::start_daemon(std::size_t index) {
   daemon_process& own = daemons_[index];
   const std::string log = options_.folder + "/" + own.id + ".log";
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -102,6 +102,9 @@
   link& leaf_link(std::size_t index) { return *leaf_links_[index]; }
   /// Between a daemon and the store.
   link& store_link(std::size_t index) { return *store_links_[index]; }
+  /// Sets how what the other daemons send to this one gets there; what it
+  /// sends itself goes on.
+  void set_peers_link(std::size_t index, link_mode mode);
 
  private:
   void add_service(const std::string& name, std::size_t count);
@@ -114,6 +117,9 @@
   std::vector<std::unique_ptr<standins::leaf>> leafs_;
   std::vector<std::unique_ptr<link>> leaf_links_;
   std::vector<std::unique_ptr<link>> store_links_;
+  /// From the other daemons to each.
+  std::vector<std::unique_ptr<link>> peer_links_;
+  std::vector<std::unique_ptr<datagram_link>> peer_datagrams_;
   std::vector<daemon_process> daemons_;
   std::vector<std::string> services_;
   std::vector<std::string> first_shards_;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -1,5 +1,6 @@
 #include "faults.hpp"
 
+#include <algorithm>
 #include <csignal>
 
 namespace medlarloft::soak {
@@ -20,6 +21,11 @@
 /// Of ten events this many are planned work.
 constexpr std::uint64_t planned_of_ten = 4;
 
+/// Names the stream of faults between daemons.
+constexpr std::uint64_t peers_stream = 2;
+/// Of the events, one in so many is added between daemons.
+constexpr std::size_t events_per_peer_fault = 4;
+
 }  // namespace
 
 fault_plan::fault_plan(deployment& all, promises& checks,
@@ -31,12 +37,14 @@
       timers_(timers),
       told_(std::move(told)),
       options_(values),
-      random_(values.seed) {}
+      random_(values.seed),
+      peers_random_(mix64(values.seed, peers_stream)) {}
 
 void fault_plan::start() {
   began_ = steady_clock::now();
   for (std::size_t i = 0; i < options_.events; ++i)
     draw();
+  if (options_.faults) hurt_peers();
 }
 
 void fault_plan::at(duration when, std::function<void()> action) {
@@ -250,6 +258,29 @@
   }
 }
 
+// Some daemons get nothing, or late, of what the others send; what they send
+// themselves arrives.
+void fault_plan::hurt_peers() {
+  const std::size_t count = all_.daemons().size();
+  for (std::size_t i = 0; i < options_.events / events_per_peer_fault; ++i) {
+    const duration when =
+        options_.begins + peers_random_.below(options_.ends - options_.begins);
+    const duration length = shortest + peers_random_.below(longest - shortest);
+    const bool silent = peers_random_.below(2) == 0;
+    const std::size_t first = peers_random_.below(count);
+    const std::size_t many = 1 + peers_random_.below(std::max(count / 3, 1UL));
+    const auto set = [this, first, many, count](link_mode mode) {
+      for (std::size_t j = 0; j < many; ++j)
+        all_.set_peers_link((first + j) % count, mode);
+    };
+    during(
+        when, length,
+        silent ? "daemons hear nothing of others" : "daemons hear others late",
+        [set, silent] { set(silent ? link_mode::silent : link_mode::delays); },
+        [set] { set(link_mode::passes); });
+  }
+}
+
 void fault_plan::hurt_leafs(duration when, duration length) {
   const std::size_t count = all_.leafs().size();
   const auto links = [this](link_mode value, std::vector<std::size_t> chosen) {
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -38,6 +38,7 @@
   void hurt_processes(duration at, duration length);
   void hurt_store(duration at, duration length);
   void hurt_leafs(duration at, duration length);
+  void hurt_peers();
   /// Runs `begin` at the time and `end` after the length; meanwhile nothing
   /// is calm.
   void during(duration at, duration length, const std::string& what,
@@ -51,6 +52,8 @@
   std::function<void(const std::string&)> told_;
   plan_options options_;
   random_stream random_;
+  /// Apart, so that the plans of seeds that once failed stay as they were.
+  random_stream peers_random_;
   time_point began_;
   bool second_shards_ = false;
 };
--- a/tests/soak/link.cpp
+++ b/tests/soak/link.cpp
@@ -170,4 +170,34 @@
     each->silence();
 }
 
+datagram_link::datagram_link(loop::io_context& loop, loop::timer_queue& timers,
+                             endpoint listen, endpoint target)
+    : timers_(timers),
+      target_(asio::ip::make_address(target.ip), target.port),
+      socket_(loop, {asio::ip::make_address(listen.ip), listen.port}) {
+  receive();
+}
+
+void datagram_link::receive() {
+  buffer_.resize(piece_bytes);
+  socket_.async_receive_from(
+      asio::buffer(buffer_), from_,
+      [this](const error_code& failed, std::size_t count) {
+        if (failed == asio::error::operation_aborted) return;
+        if (!failed && mode_ == link_mode::passes) {
+          pass(buffer_.substr(0, count));
+        } else if (!failed && mode_ == link_mode::delays) {
+          timers_.after(
+              delay, [this, bytes = buffer_.substr(0, count)] { pass(bytes); });
+        }
+        receive();
+      });
+}
+
+void datagram_link::pass(const std::string& bytes) {
+  // One that nobody takes is lost, as datagrams are.
+  error_code lost;
+  socket_.send_to(asio::buffer(bytes), target_, 0, lost);
+}
+
 }  // namespace medlarloft::soak
--- a/tests/soak/link.hpp
+++ b/tests/soak/link.hpp
@@ -4,8 +4,10 @@
 /// delayed, reset, cut one way or silenced.
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <memory>
 #include <set>
+#include <string>
 
 #include "medlarloft/loop.hpp"
 
@@ -47,4 +49,26 @@
   link_mode mode_ = link_mode::passes;
 };
 
+/// The same for datagrams, which are passed on or dropped.
+class datagram_link {
+ public:
+  datagram_link(loop::io_context& loop, loop::timer_queue& timers,
+                endpoint listen, endpoint target);
+  datagram_link(const datagram_link&) = delete;
+  datagram_link& operator=(const datagram_link&) = delete;
+
+  void set_mode(link_mode mode) { mode_ = mode; }
+
+ private:
+  void receive();
+  void pass(const std::string& bytes);
+
+  loop::timer_queue& timers_;
+  boost::asio::ip::udp::endpoint target_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::ip::udp::endpoint from_;
+  std::string buffer_;
+  link_mode mode_ = link_mode::passes;
+};
+
 }  // namespace medlarloft::soak
