--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -152,8 +152,7 @@
   addresses = serve_at(values.listen.addresses,
                        [this](auto asked) { serve_addresses(asked); });
   metrics_page = serve_at(values.listen.metrics, [this](auto asked) {
-    counts.set(count::store_calls, store->calls());
-    counts.set(count::peer_bytes, link->sent_bytes());
+    measure(steady_clock::now());
     asked->respond({.status = status_ok,
                     .headers = {{"Content-Type", "text/plain"}},
                     .body = counts.text(values.id)});
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <numeric>
 
 #include "change_codec.hpp"
 #include "daemon_state.hpp"
@@ -96,6 +97,7 @@
     log.write("woke_late", {{"after", now - last_sweep}});
     take_members(members->woke_late(now));
   }
+  loop_lag = std::max(now - last_sweep - sweep_period, duration::zero());
   last_sweep = now;
   loads.measure(now, counts.value(count::leaf_requests));
   fleet.tick(now);
@@ -105,6 +107,31 @@
   timers.after(sweep_period, [this] { sweep(); });
 }
 
+void daemon::state::measure(time_point now) {
+  using seconds = std::chrono::duration<double>;
+  const auto number = [](auto value) { return static_cast<double>(value); };
+  counts.set(count::store_calls, store->calls());
+  counts.set(count::peer_bytes, link->sent_bytes());
+  counts.set(gauge::configuration_version,
+             fleet.ready() ? number(fleet.table()->version()) : 0.0);
+  counts.set(gauge::store_revision, number(fleet.copy().upto()));
+  counts.set(gauge::store_age_seconds, seconds(duty.age(now)).count());
+  counts.set(gauge::members, number(share.daemons()));
+  const std::vector<leafs::leaf_view> all = leafs.view(now);
+  const auto usable = std::ranges::count_if(all, &leafs::leaf_view::usable);
+  const auto ejected = std::ranges::count_if(
+      all, [](const auto& each) { return each.usable && each.ejected; });
+  const auto open = std::accumulate(
+      all.begin(), all.end(), std::size_t{0},
+      [](std::size_t sum, const auto& each) { return sum + each.in_flight; });
+  counts.set(gauge::leafs_usable, number(usable));
+  counts.set(gauge::leafs_ejected, number(ejected));
+  counts.set(gauge::leaf_requests_open, number(open));
+  counts.set(gauge::requests_running, number(callers->running()));
+  counts.set(gauge::requests_waiting, number(line.size()));
+  counts.set(gauge::loop_lag_seconds, seconds(loop_lag).count());
+}
+
 // Limits are divided by every daemon that was there lately.
 void daemon::state::set_shares(time_point now) {
   for (const member_record& each : members->members()) {
--- a/packages/tier/src/daemon_state.hpp
+++ b/packages/tier/src/daemon_state.hpp
@@ -42,6 +42,8 @@
   void send(const membership::envelope& each);
   void tick_members();
   void sweep();
+  /// Sets the counters and gauges that others keep.
+  void measure(time_point now);
   void set_shares(time_point now);
   void await_signal();
   void on_signal(int number);
@@ -83,6 +85,8 @@
   std::function<std::optional<settings>()> reread;
   loop::timer_queue::handle member_timer;
   time_point last_sweep{};
+  /// By how much the last sweep was late.
+  duration loop_lag{};
   stop_sequence stop;
 };
 
--- a/packages/tier/src/figures.cpp
+++ b/packages/tier/src/figures.cpp
@@ -1,5 +1,7 @@
 #include "figures.hpp"
 
+#include <nlohmann/json.hpp>
+
 namespace medlarloft::tier {
 namespace {
 
@@ -15,8 +17,20 @@
           "store_calls",      "peer_bytes",
           "address_answers"};
 
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(gauge::gauges_end)>
+    gauge_names{"configuration_version", "store_revision",
+                "store_age_seconds",     "members",
+                "leafs_usable",          "leafs_ejected",
+                "leaf_requests_open",    "requests_running",
+                "requests_waiting",      "loop_lag_seconds"};
+
 }  // namespace
 
+std::string_view name_of(gauge which) noexcept {
+  return gauge_names[static_cast<std::size_t>(which)];
+}
+
 std::string_view name_of(count which) noexcept {
   return names[static_cast<std::size_t>(which)];
 }
@@ -30,6 +44,12 @@
     out.append(name).append(label).append("} ");
     out.append(std::to_string(counts_[i])).append("\n");
   }
+  for (std::size_t i = 0; i < gauges_.size(); ++i) {
+    const std::string name = "medlarloft_" + std::string(gauge_names[i]);
+    out.append("# TYPE ").append(name).append(" gauge\n");
+    out.append(name).append(label).append("} ");
+    out.append(nlohmann::json(gauges_[i]).dump()).append("\n");
+  }
   out += "# TYPE medlarloft_leaf_endings_total counter\n";
   for (std::size_t i = 0; i < endings_.size(); ++i) {
     const auto how = static_cast<leafs::ending>(i);
--- a/packages/tier/src/figures.hpp
+++ b/packages/tier/src/figures.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Counters of one daemon.
+/// Counters and gauges of one daemon.
 
 #include <array>
 #include <cstdint>
@@ -35,6 +35,23 @@
 
 std::string_view name_of(count which) noexcept;
 
+/// What is true now, beside what was counted.
+enum class gauge : std::uint8_t {
+  configuration_version,
+  store_revision,
+  store_age_seconds,   // since the store was known to answer some daemon
+  members,             // daemons that limits are divided among
+  leafs_usable,        // may get requests
+  leafs_ejected,       // of these, get trials only
+  leaf_requests_open,  // sent and not ended
+  requests_running,
+  requests_waiting,  // places in the lines for a free leaf
+  loop_lag_seconds,  // by how much the last regular turn was late
+  gauges_end         // number of gauges, not one itself
+};
+
+std::string_view name_of(gauge which) noexcept;
+
 class figures {
  public:
   void add(count which, std::uint64_t amount = 1) noexcept {
@@ -46,6 +63,9 @@
   std::uint64_t value(count which) const noexcept {
     return counts_[static_cast<std::size_t>(which)];
   }
+  void set(gauge which, double value) noexcept {
+    gauges_[static_cast<std::size_t>(which)] = value;
+  }
   void ended(leafs::ending how) noexcept {
     ++endings_[static_cast<std::size_t>(how)];
   }
@@ -60,6 +80,7 @@
   std::array<std::uint64_t, static_cast<std::size_t>(count::counts_end)>
       counts_{};
   std::array<std::uint64_t, ending_count> endings_{};
+  std::array<double, static_cast<std::size_t>(gauge::gauges_end)> gauges_{};
   metrics::recorder latencies_;
 };
 
