tier: word of the store may travel for longer among many daemons

A call waits for 2 s, word goes on by probes, one each 0.5 s for a daemon: among 60 the sum comes close to 4.5 s. System calls of a daemon (strace, 6 s): for 894 sends 1,650 receives without bytes, 840 of them the look before a kept connection is used; left as it is. Change: 0.5 s more each time that the daemons are twice as many (8: 4.5 s as before, 60: 5.95 s). A store that the readers alone cannot reach is not stable, for which the users' bounds are longer.

--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -149,6 +149,7 @@
        .daemons = share.daemons(),
        .rank = [this](std::string_view leaf) { return share.rank(leaf); }});
   budget.set_part(share.part());
+  duty.set_daemons(share.daemons());
 }
 
 }  // namespace medlarloft::tier
--- a/packages/tier/src/watch_duty.cpp
+++ b/packages/tier/src/watch_duty.cpp
@@ -1,12 +1,15 @@
 #include "watch_duty.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace medlarloft::tier {
 namespace {
 
 /// Names the duty when members are ranked.
 constexpr std::string_view duty_name = "store";
+/// Among so many daemons each is asked by another one every few seconds.
+constexpr double few_daemons = 8;
 
 }  // namespace
 
@@ -27,7 +30,15 @@
 }
 
 bool watch_duty::fresh(time_point now) const {
-  return answered_at_ && now - *answered_at_ < options_.stale_after;
+  return answered_at_ && now - *answered_at_ < stale_after_;
+}
+
+void watch_duty::set_daemons(std::size_t count) noexcept {
+  const double doublings =
+      std::log2(std::max(static_cast<double>(count) / few_daemons, 1.0));
+  stale_after_ =
+      options_.stale_after + std::chrono::duration_cast<duration>(
+                                 options_.longer_per_doubling * doublings);
 }
 
 bool watch_duty::reads(time_point now, const membership::group& members,
--- a/packages/tier/src/watch_duty.hpp
+++ b/packages/tier/src/watch_duty.hpp
@@ -17,8 +17,11 @@
     /// Watchers over all data centres at least; each has one or more.
     std::size_t least_watchers = 3;
     /// Without word of the store for so long a daemon reads it itself.
-    /// Longer than a call to the store lasts and word of it travels.
+    /// Longer than a call to the store lasts and word of it travels among a
+    /// few daemons.
     duration stale_after = std::chrono::milliseconds(4500);
+    /// Word takes so much longer each time that the daemons are twice as many.
+    duration longer_per_doubling = std::chrono::milliseconds(500);
     /// One that reads for that reason goes on for at least so long.
     duration stand_in_time = std::chrono::seconds(10);
     /// The same at the start, when others are only not heard yet.
@@ -41,6 +44,8 @@
   std::chrono::milliseconds age(time_point now) const;
   /// Whether somebody has word of the store.
   bool fresh(time_point now) const;
+  /// Takes the number of daemons among which word of the store travels.
+  void set_daemons(std::size_t count) noexcept;
 
   /// Whether this daemon reads the store now.
   bool reads(time_point now, const membership::group& members,
@@ -49,6 +54,7 @@
 
  private:
   options options_;
+  duration stale_after_ = options_.stale_after;
   time_point started_;
   std::optional<time_point> answered_at_;
   std::optional<time_point> stand_in_until_;
--- a/packages/tier/tests/watch_duty_test.cpp
+++ b/packages/tier/tests/watch_duty_test.cpp
@@ -34,6 +34,20 @@
   return made;
 }
 
+// Pattern: the store does not change, so that only probes carry word of it.
+// Among sixty daemons that took over 4.5 s now and then, and dozens read.
+TEST(watch_duty, word_may_travel_for_longer_among_many_daemons) {
+  watch_duty few({}, start);
+  watch_duty many({}, start);
+  few.set_daemons(8);
+  many.set_daemons(64);
+  for (watch_duty* each : {&few, &many})
+    each->answered(start);
+  EXPECT_FALSE(few.fresh(start + milliseconds(4600)));
+  EXPECT_TRUE(many.fresh(start + milliseconds(5900)));
+  EXPECT_FALSE(many.fresh(start + milliseconds(6100)));
+}
+
 int readers(int daemons, const std::function<void(watch_duty&)>& prepare,
             time_point now) {
   int reading = 0;
