http, tier: callers' requests hold a bounded part of the memory

Cause: bodies are held whole until their answer. With the operators' limit of 256 KiB and 3,500 connections that is 900 MB, on hosts with 160 to 512 MB. Change: what all connections hold is counted, from the first byte to the answer; beyond a fifth of the memory (memory_mb, from the platform) a request is refused with 503 before it runs. Ruled out: passing bodies on while they come in: a leaf would hold a slot for as long as a slow caller sends.

--- a/packages/http/include/medlarloft/http.hpp
+++ b/packages/http/include/medlarloft/http.hpp
@@ -82,6 +82,9 @@
   struct options {
     endpoint listen;
     std::size_t max_connections = 3500;
+    /// Bytes of requests that are held for all connections together, from
+    /// their arrival to their answer. A request beyond is answered 503.
+    std::size_t max_held_bytes = std::size_t{64} << 20;
     /// Asked for each request, since the configuration may change.
     std::function<http::limits()> limits;
   };
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -29,6 +29,9 @@
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
 constexpr int status_header_too_large = 431;
+constexpr int status_unavailable = 503;
+/// Memory is free again when the requests that hold it are answered.
+constexpr std::string_view retry_when_memory_is_short = "1";
 
 class session;
 
@@ -52,6 +55,8 @@
   tcp::acceptor acceptor;
   std::set<std::shared_ptr<session>> sessions;
   std::size_t running = 0;
+  /// Bytes of requests that came in and are not answered.
+  std::size_t held_bytes = 0;
   bool draining = false;
 };
 
@@ -109,6 +114,8 @@
   void parse();
   void run_request();
   void refuse(int status);
+  /// Counts what this connection holds among what all hold.
+  void hold(std::size_t bytes);
   void refuse_malformed(const error_code& why);
   void send(const message& answer, bool last);
   void linger();
@@ -122,6 +129,7 @@
   std::shared_ptr<running_exchange> current_;
   std::string out_;
   http::limits limits_;
+  std::size_t held_bytes_ = 0;
   time_point expires_at_{};
   loop::timer_queue::handle timer_;
   bool first_ = true;
@@ -171,6 +179,7 @@
 void session::close() {
   if (closed_) return;
   closed_ = true;
+  hold(0);
   owner_->timers.cancel(timer_);
   error_code ignored;
   socket_.close(ignored);
@@ -228,6 +237,11 @@
     refuse_malformed(failed);
     return;
   }
+  hold(unparsed_.size() + parser_->get().body().size());
+  if (owner_->held_bytes > owner_->settings.max_held_bytes) {
+    refuse(status_unavailable);
+    return;
+  }
   if (parser_->is_done()) {
     run_request();
     return;
@@ -263,6 +277,7 @@
   if (closed_ || current_ == nullptr) return;
   current_ = nullptr;
   --owner_->running;
+  hold(unparsed_.size());
   send(answer, !caller_keeps_ || owner_->draining);
 }
 
@@ -311,10 +326,21 @@
   read();
 }
 
+void session::hold(std::size_t bytes) {
+  owner_->held_bytes += bytes;
+  owner_->held_bytes -= std::exchange(held_bytes_, bytes);
+}
+
 void session::refuse(int status) {
   is_head_ = false;
   started_ = false;
-  send({.status = status}, true);
+  hold(0);
+  message answer{.status = status};
+  if (status == status_unavailable) {
+    answer.headers.push_back(
+        {"Retry-After", std::string(retry_when_memory_is_short)});
+  }
+  send(answer, true);
   lingering_ = true;
 }
 
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -93,6 +93,40 @@
           .starts_with("HTTP/1.1 413"));
 }
 
+// Pattern: many callers send long bodies at once. What all hold together is
+// bounded; the request that is too much is refused before it runs.
+TEST(server, refuses_what_would_hold_too_much_memory) {
+  const endpoint where{"127.0.0.1", port + 1};
+  const std::string posted =
+      "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\n" +
+      std::string(50, 'x');
+  io_context loop;
+  loop::timer_queue timers{loop};
+  std::vector<std::shared_ptr<exchange>> waiting;
+  server served(loop, timers,
+                {.listen = where,
+                 .max_held_bytes = 90,
+                 .limits = [] { return limits{}; }},
+                [&waiting](std::shared_ptr<exchange> asked) {
+                  waiting.push_back(std::move(asked));
+                });
+  ASSERT_TRUE(served.start());
+  raw_caller first(loop, where);
+  first.send(posted);
+  ASSERT_TRUE(run_until(loop, [&] { return waiting.size() == 1; }));
+  raw_caller second(loop, where);
+  second.send(posted);
+  run_until(loop, [&] { return second.ended; });
+  EXPECT_TRUE(second.received.starts_with("HTTP/1.1 503")) << second.received;
+  EXPECT_NE(second.received.find("Retry-After: 1\r\n"), std::string::npos);
+  EXPECT_EQ(waiting.size(), 1U);
+
+  waiting.front()->respond({.status = 200});
+  raw_caller third(loop, where);
+  third.send(posted);
+  EXPECT_TRUE(run_until(loop, [&] { return waiting.size() == 2; }));
+}
+
 TEST_F(server_test, refuses_a_header_over_the_limit) {
   raw_caller from(loop, {"127.0.0.1", port});
   EXPECT_TRUE(
--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -41,8 +41,8 @@
     endpoint addresses;
     /// Daemons among themselves.
     endpoint control;
-    /// Where the others reach `control`; the same unless the settings say so.
-    endpoint control_announced;
+    /// Where the others reach `control`, if that is another address.
+    std::optional<endpoint> control_announced;
     /// Counters and histograms as text; port 0: not served.
     endpoint metrics;
   } listen;
@@ -69,6 +69,8 @@
     double speed = 1.0;
   } processor;
   std::size_t max_descriptors = 1024;
+  /// Memory that the process may take.
+  std::size_t memory_bytes = std::size_t{256} << 20;
 };
 
 /// Reads the settings; an error names the key path, the value and the reason.
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -33,6 +33,9 @@
 constexpr duration first_deployment_wait = milliseconds(450);
 /// Descriptors that are not for callers.
 constexpr std::size_t reserved_descriptors = 600;
+/// Callers' requests hold at most one of so many parts of the memory; what is
+/// sent to leafs, answers and buffers of connections take the rest.
+constexpr std::size_t memory_parts = 5;
 
 std::uint64_t seed_of(const settings& values) {
   std::random_device device;
@@ -45,6 +48,10 @@
   return std::max(static_cast<std::uint32_t>(cores * thousandths), 1U);
 }
 
+endpoint control_seen_by_others(const settings& values) {
+  return values.listen.control_announced.value_or(values.listen.control);
+}
+
 membership::group_options group_options_of(const settings& values,
                                            std::uint64_t seed) {
   const auto started = std::chrono::duration_cast<milliseconds>(
@@ -52,7 +59,7 @@
                            .count();
   return {.self = {.id = values.id,
                    .data_centre = values.data_centre,
-                   .control = values.listen.control_announced,
+                   .control = control_seen_by_others(values),
                    .incarnation = static_cast<std::uint64_t>(started),
                    .capacity = capacity_of(values)},
           .seeds = values.seeds,
@@ -89,7 +96,7 @@
               .part = share.part()}),
       traffic{timers, words, leafs, pool, budget, line, log, counts},
       duty({.first_wait = std::ranges::find(values.seeds,
-                                            values.listen.control_announced) ==
+                                            control_seen_by_others(values)) ==
                                   values.seeds.end()
                               ? (values.first_deployment ? first_deployment_wait
                                                          : first_wait)
@@ -140,9 +147,11 @@
                                          http::request_handler handler) -> auto{
     return std::make_unique<http::server>(
         loop, timers,
-        http::server::options{.listen = where,
-                              .max_connections = places,
-                              .limits = [this] { return caller_limits(); }},
+        http::server::options{
+            .listen = where,
+            .max_connections = places,
+            .max_held_bytes = values.memory_bytes / memory_parts,
+            .limits = [this] { return caller_limits(); }},
         std::move(handler));
   };
   callers = serve_at(values.listen.callers,
--- a/packages/tier/src/settings.cpp
+++ b/packages/tier/src/settings.cpp
@@ -90,9 +90,12 @@
   }
 
   /// Leaves the value as it is where the settings say nothing of it.
-  void read_if_there(const std::string& path, endpoint& into) {
+  void read_if_there(const std::string& path, double& into) {
     if (has(path)) read(path, into);
   }
+  void read_if_there(const std::string& path, std::optional<endpoint>& into) {
+    if (has(path)) read(path, into.emplace());
+  }
 
   const std::optional<document_error>& problem() const { return problem_; }
 
@@ -142,7 +145,6 @@
   from.read("listen.readiness", values.listen.readiness);
   from.read("listen.addresses", values.listen.addresses);
   from.read("listen.control", values.listen.control);
-  values.listen.control_announced = values.listen.control;
   from.read_if_there("listen.control_announced",
                      values.listen.control_announced);
   from.read("listen.metrics", values.listen.metrics);
@@ -160,7 +162,11 @@
   from.read("processor.speed", values.processor.speed);
   double descriptors = 0;
   from.read("max_descriptors", descriptors);
+  constexpr double bytes_per_mb = 1 << 20;
+  double memory_mb = static_cast<double>(values.memory_bytes) / bytes_per_mb;
+  from.read_if_there("memory_mb", memory_mb);
   if (from.problem()) return *from.problem();
+  values.memory_bytes = static_cast<std::size_t>(memory_mb * bytes_per_mb);
   values.max_descriptors = static_cast<std::size_t>(descriptors);
   return values;
 }
