tier, membership: a reader that gets no answer says so, and the next one reads

Change: a reader that is turned away tells it down the tree, and again each second; it goes on trying, and the next in its data centre reads meanwhile. Word that the store answered goes down the same tree, so that fresh word does not depend on probes; a difference is passed on only when the revision moved. Without any word a daemon reads after the bound less 0.6 s (4.5 s at most), and a call waits for less where bounds are short. Tests watch_duty.the_next_one_reads..., others_read_before_a_configuration_is_due, a_reader_alone_answers...

--- a/packages/membership/include/medlarloft/membership.hpp
+++ b/packages/membership/include/medlarloft/membership.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -93,6 +94,8 @@
   std::chrono::milliseconds source_age = unknown_age;
   /// Thousandths of the sender's capacity that are in use.
   std::uint16_t load = 0;
+  /// The sender reads the platform for others and gets no answer.
+  bool source_fails = false;
 };
 
 struct envelope {
@@ -178,6 +181,10 @@
   outputs set_note(time_point now, note_version version, std::uint64_t digest,
                    const std::string& root, bool first_hand = false);
 
+  /// Sends a message without notes to those that a note of `root` would go to:
+  /// they hear what every message tells.
+  outputs spread_word(const std::string& root, bool first_hand);
+
   /// Sends words about backend servers to another daemon.
   outputs send_words(time_point now, const std::string& to,
                      std::vector<server_word> words);
@@ -257,7 +264,10 @@
   void run_suspicions(time_point now, outputs& out);
   void suspect(time_point now, outputs& out, const std::string& id);
   void forget_old(time_point now);
-  void push_note(outputs& out, const std::string& root, bool first_hand);
+  /// Sends the notes to those below this daemon in the tree of `root`.
+  void push(outputs& out, const std::string& root, bool first_hand,
+            const std::vector<notes::release_note>& held);
+  std::set<std::string> below(const std::string& root, bool first_hand) const;
   std::optional<std::string> next_target();
   duration scaled(duration base) const;
   duration suspicion_time(const suspicion& entry) const;
--- a/packages/membership/src/spreading.cpp
+++ b/packages/membership/src/spreading.cpp
@@ -96,14 +96,22 @@
   if (version != version_) previous_ = version_;
   version_ = version;
   digest_ = digest;
-  if (!root.empty()) push_note(out, root, first_hand);
+  // The receiver most likely holds the version before this one.
+  if (!root.empty()) push(out, root, first_hand, held_(previous_));
+  return out;
+}
+
+outputs group::spread_word(const std::string& root, bool first_hand) {
+  outputs out;
+  push(out, root, first_hand, {});
   return out;
 }
 
 // The daemons of a data centre, rotated so that the root comes first, form a
 // complete tree; each passes the note to its children in it. Views that
 // differ leave gaps, which anti-entropy closes.
-void group::push_note(outputs& out, const std::string& root, bool first_hand) {
+std::set<std::string> group::below(const std::string& root,
+                                   bool first_hand) const {
   const std::vector<std::string> order = ranked(self_.data_centre, "notes");
   const auto root_at = std::ranges::find(order, root);
   const bool local_root = root_at != order.end();
@@ -111,7 +119,7 @@
       local_root ? static_cast<std::size_t>(root_at - order.begin()) : 0;
   const std::size_t size = order.size();
   const auto self_at = std::ranges::find(order, self_.id);
-  if (self_at == order.end()) return;
+  if (self_at == order.end()) return {};
   const std::size_t position =
       (static_cast<std::size_t>(self_at - order.begin()) + size - shift) % size;
   std::set<std::string> targets;
@@ -133,12 +141,17 @@
     const std::vector<std::string> there = ranked(centre, "notes");
     if (!there.empty()) targets.insert(there.front());
   }
-  for (const std::string& id : targets) {
+  targets.erase(self_.id);
+  return targets;
+}
+
+void group::push(outputs& out, const std::string& root, bool first_hand,
+                 const std::vector<notes::release_note>& held) {
+  for (const std::string& id : below(root, first_hand)) {
     const member_record* record = find(id);
-    if (id == self_.id || record == nullptr) continue;
+    if (record == nullptr) continue;
     message body = make(message_kind::notes);
-    // The receiver most likely holds the version before this one.
-    body.notes = held_(previous_);
+    body.notes = held;
     // In another data centre the receiver is the root of its own tree.
     const bool same = record->data_centre == self_.data_centre;
     body.root = same ? root : id;
--- a/packages/peers/schema/wire.capnp
+++ b/packages/peers/schema/wire.capnp
@@ -124,6 +124,8 @@
   sourceAge @11 :UInt32 = 0xffffffff;
   # Thousandths of the sender's capacity that are in use.
   load @12 :UInt16;
+  # The platform does not answer the sender, who is to read it for others.
+  sourceFails @13 :Bool;
 }
 
 interface Control {
--- a/packages/peers/src/wire_codec.cpp
+++ b/packages/peers/src/wire_codec.cpp
@@ -196,6 +196,7 @@
   to.setDigest(from.digest);
   to.setRoot(from.root);
   to.setLoad(from.load);
+  to.setSourceFails(from.source_fails);
   to.setSourceAge(static_cast<std::uint32_t>(from.source_age.count()));
   auto updates = to.initUpdates(count_of(from.updates.size()));
   for (unsigned i = 0; i < updates.size(); ++i) {
@@ -222,6 +223,7 @@
   value.digest = from.getDigest();
   value.root = text_of(from.getRoot());
   value.load = from.getLoad();
+  value.source_fails = from.getSourceFails();
   value.source_age = std::chrono::milliseconds(from.getSourceAge());
   value.updates.reserve(from.getUpdates().size());
   for (const auto update : from.getUpdates()) {
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -95,7 +95,8 @@
               .window = values.retries.window,
               .part = share.part()}),
       traffic{timers, words, leafs, pool, budget, line, log, counts},
-      duty({.first_wait = std::ranges::find(values.seeds,
+      duty({.stale_after = stale_after(values.act_within),
+            .first_wait = std::ranges::find(values.seeds,
                                             control_seen_by_others(values)) ==
                                   values.seeds.end()
                               ? (values.first_deployment ? first_deployment_wait
@@ -110,6 +111,7 @@
       loop, timers,
       store_reader::options{.store = values.store,
                             .from_ip = values.listen.callers.ip,
+                            .longest_wait = read_wait(values.act_within),
                             .seed = mix64(seed, 2)},
       words,
       store_reader::hooks{
@@ -135,6 +137,8 @@
                 log.write(
                     answers ? "store_regained" : "store_lost",
                     {{"reason", reason}, {"revision", fleet.copy().upto()}});
+                store_fails = !answers;
+                tell_store_fails(steady_clock::now());
               }});
   check_duty();
 }
@@ -188,11 +192,7 @@
       });
   link = std::make_shared<peer_link>(
       loop, timers, values.listen.control,
-      [this](const membership::message& message) {
-        duty.heard(steady_clock::now(), message.source_age);
-        loads.heard(message.from, message.load);
-        take_members(members->receive(steady_clock::now(), message));
-      });
+      [this](const membership::message& message) { take_message(message); });
   if (auto began = link->start(); !began) return began.error();
   take_members(members->start(steady_clock::now()));
   start_store();
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -13,7 +13,7 @@
 
 constexpr duration sweep_period = milliseconds(500);
 /// How often it is looked at who reads the store.
-constexpr duration duty_period = milliseconds(200);
+constexpr duration duty_period = milliseconds(100);
 /// The same while this daemon can serve nobody.
 constexpr duration first_duty_period = milliseconds(40);
 /// A gap between two turns of the loop that shows that the process stood still.
@@ -54,6 +54,7 @@
   membership::message told = each.message;
   told.source_age = duty.age(steady_clock::now());
   told.load = loads.told();
+  told.source_fails = store && store->active() && store_fails;
   link->send(each.to, told);
 }
 
@@ -61,6 +62,7 @@
 void daemon::state::check_duty() {
   const time_point now = steady_clock::now();
   fleet.store_answers(now, duty.fresh(now));
+  if (store->active()) tell_store_fails(now);
   const bool reads = duty.reads(now, *members, values.data_centre, values.id,
                                 data_centres.size());
   if (reads != store->active()) {
@@ -72,10 +74,40 @@
                [this] { check_duty(); });
 }
 
+// What others say, in whatever message. Word of the store goes on along the
+// tree in which it came.
+void daemon::state::take_message(const membership::message& message) {
+  const time_point now = steady_clock::now();
+  const bool fresher = duty.heard(now, message.source_age);
+  loads.heard(message.from, message.load);
+  const bool gave_up = duty.failing(now, message.from, message.source_fails);
+  take_members(members->receive(now, message));
+  const bool only_word = message.kind == membership::message_kind::notes &&
+                         message.notes.empty() && !message.root.empty();
+  if ((fresher || gave_up) && only_word) {
+    take_members(members->spread_word(message.root, false));
+  }
+}
+
+// A reader that gets no answer says so, and goes on saying so, that another
+// one reads at once.
+void daemon::state::tell_store_fails(time_point now) {
+  if (!duty.failing(now, values.id, store_fails)) return;
+  take_members(members->spread_word(values.id, true));
+}
+
 // Tells the group how far this daemon's copy of the store is. `root` is the
 // daemon at which the spreading of these changes began.
 void daemon::state::note_progress(const std::string& root) {
   const replica::revision upto = fleet.copy().upto();
+  // The store answers also when nothing changed; the others hear just that.
+  if (upto == told_revision) {
+    for (const membership::envelope& each :
+         members->spread_word(root, root == values.id).sends)
+      send(each);
+    return;
+  }
+  told_revision = upto;
   // One revision has one content, so the digest says nothing more.
   auto wanted = members->set_note(steady_clock::now(), upto, upto, root,
                                   root == values.id);
@@ -149,7 +181,6 @@
        .daemons = share.daemons(),
        .rank = [this](std::string_view leaf) { return share.rank(leaf); }});
   budget.set_part(share.part());
-  duty.set_daemons(share.daemons());
 }
 
 }  // namespace medlarloft::tier
--- a/packages/tier/src/daemon_state.hpp
+++ b/packages/tier/src/daemon_state.hpp
@@ -37,6 +37,8 @@
   void serve_readiness(const std::shared_ptr<http::exchange>& asked);
   std::vector<endpoint> addresses_for(const address_question& asked) const;
   void take_members(const membership::outputs& wanted);
+  void take_message(const membership::message& message);
+  void tell_store_fails(time_point now);
   void note_progress(const std::string& root);
   void check_duty();
   void send(const membership::envelope& each);
@@ -85,6 +87,10 @@
   std::function<std::optional<settings>()> reread;
   loop::timer_queue::handle member_timer;
   time_point last_sweep{};
+  /// The store did not answer this daemon's last call.
+  bool store_fails = false;
+  /// As of which the others were told the last time.
+  replica::revision told_revision = 0;
   /// By how much the last sweep was late.
   duration loop_lag{};
   stop_sequence stop;
--- a/packages/tier/src/read_pace.cpp
+++ b/packages/tier/src/read_pace.cpp
@@ -14,6 +14,16 @@
 /// Half of what other daemons wait before they read by themselves.
 constexpr duration longest_pause = std::chrono::milliseconds(2000);
 
+/// What is left of a bound for a daemon that begins to read, and for the way to
+/// the others.
+constexpr duration reading_begins_within = std::chrono::milliseconds(600);
+constexpr duration longest_stale = std::chrono::milliseconds(4500);
+constexpr duration shortest_stale = std::chrono::milliseconds(1200);
+/// An open connection to a silent store proves nothing for longer.
+constexpr duration longest_wait = std::chrono::milliseconds(2000);
+/// The way of a call and of word of its answer.
+constexpr duration word_travels = std::chrono::milliseconds(300);
+
 duration scaled(duration value, double factor) {
   return std::chrono::duration_cast<duration>(value * factor);
 }
@@ -29,4 +39,14 @@
                     longest_pause);
 }
 
+duration stale_after(const news_bounds& bounds) noexcept {
+  return std::clamp(bounds.configuration - reading_begins_within,
+                    shortest_stale, longest_stale);
+}
+
+duration read_wait(const news_bounds& bounds) noexcept {
+  return std::min(stale_after(bounds) - read_pause(bounds) - word_travels,
+                  longest_wait);
+}
+
 }  // namespace medlarloft::tier
--- a/packages/tier/src/watch_duty.cpp
+++ b/packages/tier/src/watch_duty.cpp
@@ -1,28 +1,41 @@
 #include "watch_duty.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace medlarloft::tier {
 namespace {
 
 /// Names the duty when members are ranked.
 constexpr std::string_view duty_name = "store";
-/// Among so many daemons each is asked by another one every few seconds.
-constexpr double few_daemons = 8;
+/// Word that is fresher by less is not passed on.
+constexpr duration worth_passing_on = std::chrono::milliseconds(200);
 
 }  // namespace
 
-void watch_duty::heard(time_point now, std::chrono::milliseconds age) {
-  if (age == membership::unknown_age) return;
+bool watch_duty::heard(time_point now, std::chrono::milliseconds age) {
+  if (age == membership::unknown_age) return false;
   const time_point at = now - age;
+  const bool news = !answered_at_ || at >= *answered_at_ + worth_passing_on;
   answered_at_ = std::max(answered_at_.value_or(at), at);
+  return news;
 }
 
 void watch_duty::answered(time_point now) {
   answered_at_ = now;
 }
 
+bool watch_duty::failing(time_point now, const std::string& reader,
+                         bool fails) {
+  if (!fails) {
+    failing_.erase(reader);
+    return false;
+  }
+  const auto [known, fresh] = failing_.try_emplace(reader, now);
+  const bool news = fresh || now - known->second >= options_.told_again_after;
+  if (news) known->second = now;
+  return news;
+}
+
 std::chrono::milliseconds watch_duty::age(time_point now) const {
   if (!answered_at_) return membership::unknown_age;
   return std::chrono::duration_cast<std::chrono::milliseconds>(now -
@@ -30,15 +43,7 @@
 }
 
 bool watch_duty::fresh(time_point now) const {
-  return answered_at_ && now - *answered_at_ < stale_after_;
-}
-
-void watch_duty::set_daemons(std::size_t count) noexcept {
-  const double doublings =
-      std::log2(std::max(static_cast<double>(count) / few_daemons, 1.0));
-  stale_after_ =
-      options_.stale_after + std::chrono::duration_cast<duration>(
-                                 options_.longer_per_doubling * doublings);
+  return answered_at_ && now - *answered_at_ < options_.stale_after;
 }
 
 bool watch_duty::reads(time_point now, const membership::group& members,
@@ -48,7 +53,15 @@
       std::max<std::size_t>((options_.least_watchers + data_centres - 1) /
                                 std::max<std::size_t>(data_centres, 1),
                             1);
-  const auto ranked = members.ranked(data_centre, duty_name);
+  std::erase_if(failing_, [this, now](const auto& entry) {
+    return now - entry.second > options_.passed_over_for;
+  });
+  // Those that get no answer go on reading, behind those that may.
+  auto ranked = members.ranked(data_centre, duty_name);
+  std::ranges::stable_partition(ranked, [this](const std::string& who) {
+    return !failing_.contains(who);
+  });
+  const bool self_fails = failing_.contains(id);
   const auto first = ranked.begin();
   const auto last =
       first + static_cast<std::ptrdiff_t>(std::min(each, ranked.size()));
@@ -58,7 +71,7 @@
                                           : options_.first_stand_in_time);
   }
   if (stand_in_until_ && now < *stand_in_until_) return true;
-  return std::find(first, last, id) != last;
+  return self_fails || std::find(first, last, id) != last;
 }
 
 }  // namespace medlarloft::tier
--- a/packages/tier/tests/watch_duty_test.cpp
+++ b/packages/tier/tests/watch_duty_test.cpp
@@ -2,6 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <iterator>
+
+#include "read_pace.hpp"
+
 namespace medlarloft::tier {
 namespace {
 
@@ -34,18 +39,67 @@
   return made;
 }
 
-// Pattern: the store does not change, so that only probes carry word of it.
-// Among sixty daemons that took over 4.5 s now and then, and dozens read.
-TEST(watch_duty, word_may_travel_for_longer_among_many_daemons) {
-  watch_duty few({}, start);
-  watch_duty many({}, start);
-  few.set_daemons(8);
-  many.set_daemons(64);
-  for (watch_duty* each : {&few, &many})
-    each->answered(start);
-  EXPECT_FALSE(few.fresh(start + milliseconds(4600)));
-  EXPECT_TRUE(many.fresh(start + milliseconds(5900)));
-  EXPECT_FALSE(many.fresh(start + milliseconds(6100)));
+TEST(watch_duty, fresher_word_is_worth_passing_on) {
+  watch_duty duty({}, start);
+  EXPECT_TRUE(duty.heard(start, milliseconds(900)));
+  EXPECT_FALSE(duty.heard(start, milliseconds(800)));
+  EXPECT_TRUE(duty.heard(start, milliseconds(100)));
+  EXPECT_FALSE(duty.heard(start, membership::unknown_age));
+}
+
+// Pattern: the store turns a reader away and answers others. The next one in
+// its data centre reads at once; when it is answered again, it is the reader.
+TEST(watch_duty, the_next_one_reads_for_a_reader_that_gets_no_answer) {
+  const auto reads = [](const std::string& id, const std::string& failing,
+                        duration later) {
+    const auto members = group_of(id, 9);
+    watch_duty duty({}, start);
+    duty.answered(start + later);
+    if (!failing.empty()) duty.failing(start, failing, true);
+    return duty.reads(start + later, members, "z0", id, 3);
+  };
+  const std::vector<std::string> centre{"d0", "d3", "d6"};
+  const auto reader_among = [&](const std::string& failing, duration later) {
+    std::vector<std::string> found;
+    std::ranges::copy_if(
+        centre, std::back_inserter(found),
+        [&](const auto& id) { return reads(id, failing, later); });
+    return found;
+  };
+  const auto usual = reader_among("", seconds(0));
+  ASSERT_EQ(usual.size(), 1U);
+  const auto now = reader_among(usual[0], seconds(1));
+  ASSERT_EQ(now.size(), 2U);  // the first goes on trying
+  EXPECT_EQ(reader_among(usual[0], seconds(6)), usual);
+}
+
+TEST(watch_duty, a_reader_without_an_answer_is_told_of_once_a_second) {
+  watch_duty duty({}, start);
+  EXPECT_TRUE(duty.failing(start, "d1", true));
+  EXPECT_FALSE(duty.failing(start + milliseconds(500), "d1", true));
+  EXPECT_TRUE(duty.failing(start + milliseconds(1100), "d1", true));
+  EXPECT_FALSE(duty.failing(start + milliseconds(1200), "d1", false));
+  EXPECT_TRUE(duty.failing(start + milliseconds(1300), "d1", true));
+}
+
+// Pattern: the store turns away just those that read it, right after it
+// answered. A configuration made then must be in force within its bound, so
+// that the others are to read in time (grown, hunt-2911-3: 8.2 s after 1.9 s).
+TEST(watch_duty, others_read_before_a_configuration_is_due) {
+  const auto three = seconds(3);
+  watch_duty duty({.stale_after = stale_after({.configuration = three})},
+                  start);
+  duty.answered(start);
+  EXPECT_FALSE(duty.fresh(start + three - milliseconds(500)));
+  EXPECT_EQ(stale_after({.configuration = seconds(60)}), milliseconds(4500));
+}
+
+TEST(watch_duty, a_reader_alone_answers_before_others_read_too) {
+  for (const auto bound : {seconds(2), seconds(3), seconds(5), seconds(9)}) {
+    const news_bounds bounds{.leaf_leaves = bound, .configuration = bound};
+    EXPECT_LT(read_wait(bounds) + read_pause(bounds), stale_after(bounds));
+    EXPECT_GE(read_wait(bounds), milliseconds(200));
+  }
 }
 
 int readers(int daemons, const std::function<void(watch_duty&)>& prepare,
