--- a/packages/membership/tests/group_test.cpp
+++ b/packages/membership/tests/group_test.cpp
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <set>
+
 #include "harness.hpp"
 
 namespace medlarloft::membership {
@@ -63,6 +65,38 @@
   EXPECT_EQ(net_.state_at("d7", "d1"), member_state::alive);
 }
 
+// Starts are numbered by the time of day, which may jump back.
+TEST_F(eight_daemons, hear_of_a_start_after_the_clock_went_back) {
+  net_.node("d1").up = false;
+  net_.start("d1", false, 1'000'000);
+  net_.run_for(2s);
+  net_.node("d1").up = false;
+  net_.run_for(25s);
+  EXPECT_EQ(net_.state_at("d7", "d1"), member_state::failed);
+  net_.start("d1", false, 400'000);
+  net_.run_for(3s);
+  for (const char* observer : {"d0", "d4", "d7"}) {
+    EXPECT_EQ(net_.state_at(observer, "d1"), member_state::alive);
+  }
+}
+
+// A reader of the platform tells all that it answers, without a note.
+TEST_F(eight_daemons, pass_word_on_to_one_of_each_other_data_centre) {
+  std::size_t sent = 0;
+  const outputs wanted = net_.node("d0").members->spread_word("d0", true);
+  std::set<std::string> centres;
+  for (const envelope& each : wanted.sends) {
+    EXPECT_EQ(each.message.kind, message_kind::notes);
+    EXPECT_TRUE(each.message.notes.empty());
+    EXPECT_FALSE(each.message.root.empty());
+    centres.insert(each.message.root);
+    ++sent;
+  }
+  // Itself for its own data centre, and one root for each of the two others.
+  EXPECT_EQ(centres.size(), 3U);
+  EXPECT_LE(sent, 8U);
+}
+
 TEST_F(eight_daemons, give_a_restarted_one_the_note_in_force) {
   net_.read_note("d2", 5);
   net_.run_for(1s);
