--- a/packages/fanout/tests/answer_time_test.cpp
+++ b/packages/fanout/tests/answer_time_test.cpp
@@ -44,8 +44,6 @@
 struct answer_given {
   milliseconds at{};
   std::size_t parts = 0;
-
-  friend bool operator==(const answer_given&, const answer_given&) = default;
 };
 
 /// Credit of an answer: the square of its share, a tenth when it is late.
--- a/packages/tier/src/watch_duty.cpp
+++ b/packages/tier/src/watch_duty.cpp
@@ -58,7 +58,7 @@
   });
   // Those that get no answer go on reading, behind those that may.
   auto ranked = members.ranked(data_centre, duty_name);
-  std::ranges::stable_partition(ranked, [this](const std::string& who) {
+  std::stable_partition(ranked.begin(), ranked.end(), [this](const auto& who) {
     return !failing_.contains(who);
   });
   const bool self_fails = failing_.contains(id);
--- a/tests/soak/link.cpp
+++ b/tests/soak/link.cpp
@@ -171,7 +171,7 @@
 }
 
 datagram_link::datagram_link(loop::io_context& loop, loop::timer_queue& timers,
-                             endpoint listen, endpoint target)
+                             const endpoint& listen, const endpoint& target)
     : timers_(timers),
       target_(asio::ip::make_address(target.ip), target.port),
       socket_(loop, {asio::ip::make_address(listen.ip), listen.port}) {
--- a/tests/soak/link.hpp
+++ b/tests/soak/link.hpp
@@ -53,7 +53,7 @@
 class datagram_link {
  public:
   datagram_link(loop::io_context& loop, loop::timer_queue& timers,
-                endpoint listen, endpoint target);
+                const endpoint& listen, const endpoint& target);
   datagram_link(const datagram_link&) = delete;
   datagram_link& operator=(const datagram_link&) = delete;
 
