--- a/fuzz/tier.cpp
+++ b/fuzz/tier.cpp
@@ -1,9 +1,9 @@
 /// Settings of the daemon and the changes that daemons tell each other:
 /// whatever comes is read whole or refused.
 
+#include "medlarloft/tier.hpp"
 #include "change_codec.hpp"
 #include "input.hpp"
-#include "medlarloft/tier.hpp"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
--- a/packages/tier/src/change_codec.hpp
+++ b/packages/tier/src/change_codec.hpp
@@ -15,7 +15,6 @@
 std::string write_changes(const std::vector<replica::change>& changes);
 
 /// Returns nothing if the text is no list of changes.
-std::optional<std::vector<replica::change>> read_changes(
-    std::string_view text);
+std::optional<std::vector<replica::change>> read_changes(std::string_view text);
 
 }  // namespace medlarloft::tier
