--- a/packages/http/include/medlarloft/http.hpp
+++ b/packages/http/include/medlarloft/http.hpp
@@ -4,6 +4,7 @@
 /// Asio event loop. Headers and bodies pass through unchanged. Boost.Beast does
 /// the parsing and is not visible in this interface.
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
@@ -121,10 +122,36 @@
 /// Why a request to a backend server got no response.
 enum class response_errc : std::uint8_t {
   connection_lost,  // the backend server may have run the request
-  malformed,        // the bytes received are no HTTP response
+  malformed,        // no HTTP response, or one that exceeds a limit
   timed_out,
 };
 
+/// Limits the memory that several connections use for unfinished responses.
+/// Each connection may exceed it by the bytes of a single read.
+class memory_budget {
+ public:
+  explicit memory_budget(std::size_t limit) noexcept : limit_(limit) {}
+
+  /// Changes a reservation from `before` to `after` bytes. Returns false and
+  /// changes nothing if the limit would be exceeded.
+  bool try_resize(std::size_t before, std::size_t after) noexcept {
+    const std::size_t total = used_ - before + after;
+    if (after > before && total > limit_) return false;
+    used_ = total;
+    peak_ = std::max(peak_, used_);
+    return true;
+  }
+
+  std::size_t used() const noexcept { return used_; }
+  /// The most bytes that were reserved at the same time.
+  std::size_t peak() const noexcept { return peak_; }
+
+ private:
+  std::size_t limit_;
+  std::size_t used_ = 0;
+  std::size_t peak_ = 0;
+};
+
 /// A complete response and what it says about its connection.
 struct received_response {
   message response;
@@ -148,6 +175,8 @@
     duration connect_timeout = std::chrono::milliseconds(100);
     /// Limit on the body of a response.
     std::size_t max_response_bytes = std::size_t{8} << 20;
+    /// Shared limit on the bytes of unfinished responses; none if not set.
+    std::shared_ptr<memory_budget> memory;
     /// Closes the connection when sent data stays unacknowledged for this long
     /// (TCP_USER_TIMEOUT).
     duration tcp_user_timeout = std::chrono::seconds(2);
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -35,6 +35,12 @@
 
 constexpr std::size_t read_bytes = 4096;
 constexpr std::size_t max_response_header_bytes = std::size_t{16} << 10;
+/// Limit on a line that has no end yet, such as the header of a chunk, and on
+/// the trailer fields of a chunked body.
+constexpr std::size_t max_unparsed_bytes = max_response_header_bytes;
+/// Interim responses and responses to earlier requests before the response to
+/// the pending request.
+constexpr int max_skipped_responses = 8;
 /// TCP keep-alive probes detect a peer that disappeared without a reset.
 constexpr int probe_idle_s = 1;
 constexpr int probe_interval_s = 1;
@@ -61,6 +67,9 @@
  public:
   tcp_connection(io_context& loop, loop::timer_queue& timers, options settings)
       : socket_(loop), timers_(timers), options_(std::move(settings)) {}
+  ~tcp_connection() override { release_memory(); }
+  tcp_connection(const tcp_connection&) = delete;
+  tcp_connection& operator=(const tcp_connection&) = delete;
 
   void open(open_handler on_open) override;
   void send_request(std::string text, std::string_view method,
@@ -82,6 +91,11 @@
   void parse(std::string_view bytes);
   void reset_parser();
   void complete_response(bool has_excess_bytes);
+  /// Continues with the next response of the peer, up to a limit.
+  void skip_response();
+  /// Accounts for the bytes of the unfinished response; false over the limit.
+  bool reserve_memory();
+  void release_memory();
   void fail(response_errc reason);
   void close_socket();
 
@@ -97,11 +111,14 @@
   /// Set while a request is pending.
   response_handler on_response_;
   std::function<void()> on_idle_close_;
+  std::size_t reserved_bytes_ = 0;
   bool open_ = false;
   bool request_written_ = true;
   /// A late response to an earlier request was skipped; the connection is not
   /// reused.
   bool skipped_response_ = false;
+  /// Interim and skipped responses since the request was sent.
+  int skipped_count_ = 0;
 };
 
 void tcp_connection::open(open_handler on_open) {
@@ -155,6 +172,7 @@
   method_ = method;
   matches_ = std::move(matches);
   on_response_ = std::move(on_response);
+  skipped_count_ = 0;
   reset_parser();
   request_written_ = false;
   asio::async_write(socket_, asio::buffer(request_text_),
@@ -202,7 +220,7 @@
     bytes.remove_prefix(used);
     if (error == detail::beast::http::error::need_more) {
       unparsed_.assign(bytes);
-      return;
+      break;
     }
     if (error) {
       fail(response_errc::malformed);
@@ -210,13 +228,41 @@
     }
     if (parser_->is_done()) complete_response(!bytes.empty());
   }
-  if (!bytes.empty()) close_socket();
+  const bool over_limit =
+      unparsed_.size() > max_unparsed_bytes || !reserve_memory();
+  if (on_response_ && over_limit) {
+    fail(response_errc::malformed);
+  } else if (!bytes.empty() && !on_response_) {
+    close_socket();
+  }
+}
+
+void tcp_connection::skip_response() {
+  if (++skipped_count_ > max_skipped_responses) {
+    fail(response_errc::malformed);
+  } else {
+    reset_parser();
+  }
+}
+
+bool tcp_connection::reserve_memory() {
+  if (!options_.memory || !parser_) return true;
+  const std::size_t bytes =
+      unparsed_.capacity() + parser_->get().body().capacity();
+  if (!options_.memory->try_resize(reserved_bytes_, bytes)) return false;
+  reserved_bytes_ = bytes;
+  return true;
+}
+
+void tcp_connection::release_memory() {
+  if (!options_.memory) return;
+  options_.memory->try_resize(std::exchange(reserved_bytes_, 0), 0);
 }
 
 void tcp_connection::complete_response(bool has_excess_bytes) {
   constexpr unsigned first_final_status = 200;
   if (parser_->get().result_int() < first_final_status) {
-    reset_parser();
+    skip_response();
     return;
   }
   const bool persistent = parser_->keep_alive() && !parser_->need_eof();
@@ -232,7 +278,7 @@
       fail(response_errc::connection_lost);
       return;
     }
-    reset_parser();
+    skip_response();
     return;
   }
   received.reusable =
@@ -240,6 +286,7 @@
   if (const auto value = received.response.find("Keep-Alive")) {
     received.keep_alive_timeout = detail::parse_keep_alive_timeout(*value);
   }
+  release_memory();
   if (!received.reusable) close_socket();
   std::exchange(on_response_, nullptr)(std::move(received));
 }
@@ -265,6 +312,9 @@
 
 void tcp_connection::fail(response_errc reason) {
   close_socket();
+  parser_.reset();
+  unparsed_ = {};
+  release_memory();
   if (on_response_) std::exchange(on_response_, nullptr)(reason);
 }
 
--- a/packages/http/tests/harness.hpp
+++ b/packages/http/tests/harness.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
 #include <functional>
@@ -51,13 +52,22 @@
   bool close_after_response = false;
   /// Resets the connection after each response.
   bool reset_after_response = false;
+  /// Repeated after the first response until the caller closes the connection.
+  std::string endless_text;
+  /// Pause before each repetition of `endless_text`.
+  duration endless_pause{};
+  /// Whether a connection that received `endless_text` was closed.
+  bool endless_closed = false;
+  std::size_t endless_bytes = 0;
   std::string received;
   int connections = 0;
 
  private:
   struct client {
-    explicit client(tcp::socket accepted) : socket(std::move(accepted)) {}
+    explicit client(tcp::socket accepted)
+        : socket(std::move(accepted)), timer(socket.get_executor()) {}
     tcp::socket socket;
+    asio::steady_timer timer;
     std::array<char, 4096> buffer{};
   };
 
@@ -80,7 +90,9 @@
           const std::string text = responses.front();
           responses.pop_front();
           asio::write(from->socket, asio::buffer(text));
-          if (reset_after_response) {
+          if (!endless_text.empty()) {
+            write_endlessly(from);
+          } else if (reset_after_response) {
             from->socket.set_option(asio::socket_base::linger(true, 0));
             from->socket.close();
           } else if (close_after_response || text.empty()) {
@@ -91,6 +103,21 @@
         });
   }
 
+  void write_endlessly(const std::shared_ptr<client>& to) {
+    to->timer.expires_after(endless_pause);
+    to->timer.async_wait([this, to](const auto&) {
+      asio::async_write(to->socket, asio::buffer(endless_text),
+                        [this, to](const auto& failed, std::size_t count) {
+                          endless_bytes += count;
+                          if (failed) {
+                            endless_closed = true;
+                          } else {
+                            write_endlessly(to);
+                          }
+                        });
+    });
+  }
+
   tcp::acceptor acceptor_;
 };
 
