--- a/packages/tier/src/connection_pool.cpp
+++ b/packages/tier/src/connection_pool.cpp
@@ -14,11 +14,13 @@
 }  // namespace
 
 connection_pool::connection_pool(http::io_context& loop,
-                                 loop::timer_queue& timers, std::string from_ip,
+                                 loop::timer_queue& timers, options settings,
                                  hooks callbacks)
     : loop_(loop),
       timers_(timers),
-      from_ip_(std::move(from_ip)),
+      from_ip_(std::move(settings.from_ip)),
+      response_memory_(
+          std::make_shared<http::memory_budget>(settings.max_response_memory)),
       hooks_(std::move(callbacks)) {}
 
 connection_pool::~connection_pool() {
@@ -43,8 +45,9 @@
             std::move(done));
     return new_call;
   }
-  const connection_ptr new_connection =
-      http::connection::make(loop_, timers_, {.to = to, .from_ip = from_ip_});
+  const connection_ptr new_connection = http::connection::make(
+      loop_, timers_,
+      {.to = to, .from_ip = from_ip_, .memory = response_memory_});
   new_call.connection_ = new_connection;
   ++opened_;
   new_connection->open(
--- a/packages/tier/src/connection_pool.hpp
+++ b/packages/tier/src/connection_pool.hpp
@@ -39,8 +39,15 @@
     std::weak_ptr<http::connection> connection_;
   };
 
+  struct options {
+    /// Local address to connect from; empty: the system chooses.
+    std::string from_ip;
+    /// Limit on the memory of all unfinished responses together.
+    std::size_t max_response_memory = std::size_t{64} << 20;
+  };
+
   connection_pool(http::io_context& loop, loop::timer_queue& timers,
-                  std::string from_ip, hooks callbacks);
+                  options settings, hooks callbacks);
   ~connection_pool();
   connection_pool(const connection_pool&) = delete;
   connection_pool& operator=(const connection_pool&) = delete;
@@ -80,6 +87,7 @@
   http::io_context& loop_;
   loop::timer_queue& timers_;
   std::string from_ip_;
+  std::shared_ptr<http::memory_budget> response_memory_;
   hooks hooks_;
   std::unordered_map<leafs::leaf_handle, std::vector<idle_connection>> idle_;
   std::uint64_t opened_ = 0;
