tier: read a full page of changes on at once; confirm copies by revision

While 135 shards come up, leafs write 240 events a second and more; a reader that paused 2 s after each page read 500 in 2.1 s and fell behind for good. The logs show source=store revision=349, 849, 1349 ... 2849 at steps of 500 from 5.1 to 15.7 s on both readers; version 18, acknowledged at 11.9 s, was first read at 17.84 s, and was with all 242 daemons at 18.84 s. No reader knew: an answer counted as "the store's latest". Ruled out: losses in the tree (all daemons had 18 within 1 s of the first read), slow hosts, readers turned away (regained at 11.7 s). Found beside it: a daemon counted as up to date when a report said that the store answers, also while the changes themselves did not reach it; and changes that build on a revision that the receiver lacks were dropped without a request. Change: a page that may be cut off is followed by the next call without a pause, and does not confirm the copy. A report names the revision that it is about, and confirms only a copy that holds it. A daemon whose copy is not confirmed for half of the staleness limit asks one member of its data centre and one of another, every 0.5 s, then reads the store itself. What decides this moved from the daemon into change_distribution, which does no I/O. Measured: change_distribution_test, fleets of 10, 60 and 295 with a simulated clock: losses of a tenth, readers and a third of all turned away, a data centre cut off, a daemon that receives only reports, 800 heartbeats a second. With the old rule planted, a_daemon_that_receives_only_reports_takes_over fails; without the reading on, reads_on_without_a_pause_after_a_full_page fails.

--- a/packages/membership/include/medlarloft/membership.hpp
+++ b/packages/membership/include/medlarloft/membership.hpp
@@ -199,6 +199,10 @@
   /// does, for the status that every message carries, such as `store_age`.
   outputs broadcast_status(const std::string& root, bool read_from_store);
 
+  /// Requests newer notes from one random member of this data centre and one of
+  /// another. They answer also if they have none.
+  outputs request_notes(time_point now);
+
   /// Sends reports about backend servers to another daemon.
   outputs send_server_reports(time_point now, const std::string& to,
                               std::vector<server_report> server_reports);
@@ -272,7 +276,10 @@
              bool pass_on = true);
   void enqueue(const std::string& id);
   void on_direct_contact(time_point now, outputs& out, const std::string& id);
-  void check_note_version(outputs& out, const message& received);
+  void check_note_version(time_point now, outputs& out,
+                          const message& received);
+  void request_notes_from(time_point now, outputs& out,
+                          const member_record& member);
   void on_ping_req(time_point now, outputs& out, const message& received);
   void on_ack(time_point now, outputs& out, const message& received);
   void on_join(time_point now, outputs& out, const message& received);
@@ -319,6 +326,8 @@
   /// The version before `version_`, which other daemons most likely hold.
   note_version previous_version_ = 0;
   std::uint64_t digest_ = 0;
+  /// No notes are requested before this time.
+  time_point next_notes_request_{};
 };
 
 }  // namespace medlarloft::membership
--- a/packages/membership/src/spreading.cpp
+++ b/packages/membership/src/spreading.cpp
@@ -39,9 +39,11 @@
     case message_kind::notes_request: {
       const member_record* sender = find(received.from);
       if (sender == nullptr) break;
+      // Also sent without notes: its status tells the sender that it lacks
+      // none.
       message body = make_message(message_kind::notes);
       body.notes = notes_reader_(received.version);
-      if (!body.notes.empty()) send(out, *sender, std::move(body));
+      send(out, *sender, std::move(body));
       break;
     }
     case message_kind::notes:
@@ -51,7 +53,7 @@
       out.server_reports = received.server_reports;
       break;
   }
-  check_note_version(out, received);
+  check_note_version(now, out, received);
   return out;
 }
 
@@ -75,26 +77,61 @@
 }
 
 // Anti-entropy: a daemon that receives a newer version in any message requests
-// the notes that it lacks.
-void group::check_note_version(outputs& out, const message& received) {
+// the notes that it lacks. Notes whose base is newer than its own version don't
+// help: an earlier message to it was lost.
+void group::check_note_version(time_point now, outputs& out,
+                               const message& received) {
   if (received.version == version_ && version_ != 0 &&
       received.digest != digest_) {
     out.conflicts.push_back({received.from, version_});
     return;
   }
-  const bool has_notes = !received.notes.empty();
-  if (received.version <= version_ || has_notes) return;
+  const bool usable_notes =
+      !received.notes.empty() && received.notes.front().base <= version_;
+  if (received.version <= version_ || usable_notes) return;
   const member_record* sender = find(received.from);
-  if (sender == nullptr) return;
+  if (sender != nullptr) request_notes_from(now, out, *sender);
+}
+
+// Several members that are ahead are not all asked for the same notes.
+void group::request_notes_from(time_point now, outputs& out,
+                               const member_record& member) {
+  if (now < next_notes_request_) return;
+  next_notes_request_ = now + options_.probe_timeout;
   out.messages.push_back(
-      {sender->control, sender->id, make_message(message_kind::notes_request)});
+      {member.control, member.id, make_message(message_kind::notes_request)});
+}
+
+outputs group::request_notes(time_point now) {
+  outputs out;
+  next_notes_request_ = now;
+  std::vector<const member_record*> near;
+  std::vector<const member_record*> far;
+  for (const auto& [id, known] : members_) {
+    if (!reachable(known.record)) continue;
+    const bool same_centre = known.record.data_centre == self_.data_centre;
+    (same_centre ? near : far).push_back(&known.record);
+  }
+  for (auto* candidates : {&near, &far}) {
+    if (candidates->empty()) continue;
+    // The members' order in the map depends on the library.
+    std::ranges::sort(*candidates, {}, [](const auto* r) { return r->id; });
+    const member_record& chosen =
+        *(*candidates)[random_.below(candidates->size())];
+    out.messages.push_back(
+        {chosen.control, chosen.id, make_message(message_kind::notes_request)});
+  }
+  return out;
 }
 
 outputs group::set_note(time_point /*now*/, note_version version,
                         std::uint64_t digest, const std::string& root,
                         bool read_from_store) {
   outputs out;
-  if (version != version_) previous_version_ = version_;
+  if (version != version_) {
+    previous_version_ = version_;
+    next_notes_request_ = {};
+  }
   version_ = version;
   digest_ = digest;
   // The receivers most likely hold the previous version.
--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -113,10 +113,13 @@
   bool has_more = false;
 };
 
-/// The changes after a revision.
+/// The changes after a revision, or the first of them.
 struct changes_page {
   std::vector<replica::change> changes;
+  /// The store's revision, or that of the last change if the page is full.
   replica::revision revision = 0;
+  /// Whether the store may have later changes that did not fit into the page.
+  bool may_have_more = false;
 };
 
 enum class adapter_errc : std::uint8_t { malformed };
--- /dev/null
+++ b/packages/tier/src/change_distribution.cpp
@@ -0,0 +1,165 @@
+#include "change_distribution.hpp"
+
+#include <iterator>
+#include <utility>
+
+#include "change_codec.hpp"
+
+namespace medlarloft::tier {
+namespace {
+
+/// Base of a note that holds a full listing instead of changes.
+constexpr notes::note_version listing_base = 0;
+
+std::vector<notes::release_note> make_notes(
+    const replica::store_copy::delta& delta, notes::note_version from) {
+  if (delta.last_revision <= from) return {};
+  return {{.version = delta.last_revision,
+           .base = delta.listing ? listing_base : from,
+           .text = encode_changes(delta.changes)}};
+}
+
+}  // namespace
+
+change_distribution::change_distribution(options settings, hooks callbacks)
+    : id_(settings.group.self.id),
+      data_centre_(settings.group.self.data_centre),
+      hooks_(std::move(callbacks)),
+      readers_(settings.readers, settings.started_at),
+      members_(std::move(settings.group), [this](notes::note_version from) {
+        return make_notes(hooks_.changes_since(from), from);
+      }) {}
+
+change_distribution::outputs change_distribution::start(time_point now) {
+  outputs out;
+  collect(now, out, members_.start(now));
+  return out;
+}
+
+change_distribution::outputs change_distribution::tick(time_point now) {
+  outputs out;
+  collect(now, out, members_.tick(now));
+  return out;
+}
+
+change_distribution::outputs change_distribution::reset_after_pause(
+    time_point now) {
+  outputs out;
+  collect(now, out, members_.reset_after_pause(now));
+  return out;
+}
+
+change_distribution::outputs change_distribution::leave(
+    time_point now, membership::member_state state) {
+  outputs out;
+  collect(now, out, members_.leave(now, state));
+  return out;
+}
+
+// Every message carries the sender's report of its copy. A report that came
+// down the distribution tree is forwarded along the same tree.
+change_distribution::outputs change_distribution::receive(
+    time_point now, const membership::message& received) {
+  outputs out;
+  const bool newer_report = readers_.handle_report(
+      now, {.revision = received.version, .age = received.store_age});
+  const bool reader_failing =
+      readers_.set_failing(now, received.from, received.store_failing);
+  membership::outputs from_group = members_.receive(now, received);
+  const auto notes = std::exchange(from_group.notes, {});
+  collect(now, out, std::move(from_group));
+  for (const membership::received_notes& each : notes)
+    apply_notes(now, out, each);
+  const bool only_report = received.kind == membership::message_kind::notes &&
+                           received.notes.empty() && !received.root.empty();
+  if ((newer_report || reader_failing) && only_report) {
+    collect(now, out, members_.broadcast_status(received.root, false));
+  }
+  return out;
+}
+
+void change_distribution::apply_notes(
+    time_point now, outputs& out, const membership::received_notes& received) {
+  for (const notes::release_note& note : received.chain) {
+    const replica::revision held = hooks_.copy_revision();
+    const bool listing = note.base == listing_base;
+    // Changes after a revision that this copy lacks would leave a gap.
+    if (note.version <= held || (!listing && note.base > held)) continue;
+    auto changes = decode_changes(note.text);
+    if (!changes) {
+      hooks_.on_malformed(received.from, note.version);
+      continue;
+    }
+    hooks_.apply(now,
+                 {.last_revision = note.version,
+                  .listing = listing,
+                  .changes = std::move(*changes)},
+                 received.from);
+    publish(now, out, received.root);
+  }
+}
+
+change_distribution::outputs change_distribution::on_store_read(
+    time_point now, replica::revision revision, bool is_latest) {
+  outputs out;
+  if (is_latest) readers_.confirm_copy(now, revision);
+  publish(now, out, id_);
+  return out;
+}
+
+// Sends the changes of this daemon's copy to the group. `root` is the daemon at
+// which their distribution began.
+void change_distribution::publish(time_point now, outputs& out,
+                                  const std::string& root) {
+  const replica::revision revision = hooks_.copy_revision();
+  readers_.set_copy_revision(revision);
+  const bool read_from_store = root == id_;
+  // The store answered without changes; only that is reported to the others.
+  if (revision == published_revision_) {
+    collect(now, out, members_.broadcast_status(root, read_from_store));
+    return;
+  }
+  published_revision_ = revision;
+  // A revision has exactly one content, so it also serves as the digest.
+  collect(now, out,
+          members_.set_note(now, revision, revision, root, read_from_store));
+}
+
+// A reader without an answer reports this repeatedly, so that another daemon
+// reads at once.
+change_distribution::outputs change_distribution::set_store_failing(
+    time_point now, bool failing) {
+  store_failing_ = failing;
+  outputs out;
+  if (!readers_.set_failing(now, id_, failing)) return out;
+  collect(now, out, members_.broadcast_status(id_, true));
+  return out;
+}
+
+change_distribution::outputs change_distribution::request_missing_changes(
+    time_point now) {
+  outputs out;
+  if (!readers_.should_request_changes(now)) return out;
+  collect(now, out, members_.request_notes(now));
+  return out;
+}
+
+bool change_distribution::should_read_store(time_point now,
+                                            std::size_t data_centres) {
+  return readers_.should_read(now, members_, data_centre_, id_, data_centres);
+}
+
+// Messages are stamped while the copy still has the revision that they state:
+// a later confirmation is about a later revision.
+void change_distribution::collect(time_point now, outputs& out,
+                                  membership::outputs&& from_group) {
+  const auto age = readers_.copy_age(now);
+  for (membership::envelope& envelope : from_group.messages) {
+    envelope.message.store_age = age;
+    envelope.message.store_failing = store_failing_;
+    out.messages.push_back(std::move(envelope));
+  }
+  std::ranges::move(from_group.events, std::back_inserter(out.events));
+}
+
+}  // namespace medlarloft::tier
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -37,6 +37,8 @@
 /// Requests of callers take at most the process's memory divided by this; the
 /// rest is for requests to leafs, responses and buffers of connections.
 constexpr std::size_t request_memory_divisor = 5;
+/// The same for unfinished responses of leafs.
+constexpr std::size_t response_memory_divisor = 5;
 
 std::uint64_t make_seed(const settings& daemon_settings) {
   std::random_device device;
@@ -72,6 +74,16 @@
           .random_seed = seed};
 }
 
+/// Returns how long the daemon waits for the reports of others at its start.
+duration initial_read_delay(const settings& daemon_settings) {
+  const auto own_address = announced_control(daemon_settings);
+  const bool seed = std::ranges::find(daemon_settings.seeds, own_address) !=
+                    daemon_settings.seeds.end();
+  if (seed) return duration::zero();
+  return daemon_settings.first_deployment ? first_deployment_delay
+                                          : startup_delay;
+}
+
 }  // namespace
 
 daemon::state::state(settings initial_settings, adapter platform_adapter)
@@ -82,7 +94,10 @@
       leafs({.local_data_centre = daemon_settings.data_centre},
             hash_combine(seed, 1)),
       view(platform, leafs, log, platform.operator_prefix),
-      pool(loop, timers, daemon_settings.listen.callers.ip,
+      pool(loop, timers,
+           {.from_ip = daemon_settings.listen.callers.ip,
+            .max_response_memory =
+                daemon_settings.memory_bytes / response_memory_divisor},
            {.on_connected =
                 [this](leafs::leaf_handle leaf, duration connect_time) {
                   metrics.increment(counter::connections_opened);
@@ -100,16 +115,6 @@
               .window = daemon_settings.retries.window,
               .slack_fraction = quota.fraction()}),
       traffic{timers, platform, leafs, pool, budget, queue, log, metrics},
-      readers(
-          {.stale_after = stale_after(daemon_settings.act_within),
-           .startup_delay =
-               std::ranges::find(daemon_settings.seeds,
-                                 announced_control(daemon_settings)) ==
-                       daemon_settings.seeds.end()
-                   ? (daemon_settings.first_deployment ? first_deployment_delay
-                                                       : startup_delay)
-                   : duration::zero()},
-          steady_clock::now()),
       stop({.stop_within = daemon_settings.stop_within,
             .address_ttl = address_ttl() * address_ttl_factor}) {}
 
@@ -124,17 +129,21 @@
       platform,
       store_reader::hooks{
           .on_changes =
-              [this](const auto& changes, replica::revision revision) {
-                view.apply(steady_clock::now(), changes, revision, "store");
-                publish_store_changes(daemon_settings.id);
+              [this](const changes_page& page) {
+                const time_point now = steady_clock::now();
+                view.apply(now, page.changes, page.revision, "store");
+                apply_group_outputs(distribution->on_store_read(
+                    now, page.revision, !page.may_have_more));
               },
           .on_listing =
               [this](const auto& listing, replica::revision revision) {
-                view.apply_listing(steady_clock::now(), listing, revision,
-                                   "store");
-                publish_store_changes(daemon_settings.id);
+                const time_point now = steady_clock::now();
+                view.apply_listing(now, listing, revision, "store");
+                apply_group_outputs(
+                    distribution->on_store_read(now, revision, true));
               },
-          .on_answer = [this] { readers.store_answered(steady_clock::now()); },
+          .on_answer =
+              [this] { distribution->on_store_answer(steady_clock::now()); },
           .pause_after_changes =
               [this] {
                 return view.ready()
@@ -195,23 +204,33 @@
   if (const auto started = metrics_server->start(); !started) {
     log.write("metrics_not_served", {{"reason", started.error().text}});
   }
-  members = std::make_unique<membership::group>(
-      make_group_options(daemon_settings, hash_combine(seed, 3)),
-      [this](notes::note_version from) {
-        const auto delta = view.records().changes_since(from);
-        std::vector<notes::release_note> notes;
-        if (delta.last_revision <= from) return notes;
-        // The base 0 marks a full listing.
-        notes.push_back({.version = delta.last_revision,
-                         .base = delta.listing ? 0 : from,
-                         .text = encode_changes(delta.changes)});
-        return notes;
-      });
+  distribution = std::make_unique<change_distribution>(
+      change_distribution::options{
+          .group = make_group_options(daemon_settings, hash_combine(seed, 3)),
+          .readers = {.stale_after = stale_after(daemon_settings.act_within),
+                      .startup_delay = initial_read_delay(daemon_settings)},
+          .started_at = started_at},
+      change_distribution::hooks{
+          .changes_since =
+              [this](replica::revision from) {
+                return view.records().changes_since(from);
+              },
+          .copy_revision = [this] { return view.records().last_revision(); },
+          .apply =
+              [this](time_point now, const replica::store_copy::delta& delta,
+                     std::string_view source) {
+                apply_peer_changes(now, delta, source);
+              },
+          .on_malformed =
+              [this](std::string_view source, replica::revision revision) {
+                log.write("changes_not_read",
+                          {{"from", source}, {"revision", revision}});
+              }});
   link = std::make_shared<peer_link>(
       loop, timers, daemon_settings.listen.control,
       [this](const membership::message& message) { handle_message(message); });
   if (auto started = link->start(); !started) return started.error();
-  apply_membership_outputs(members->start(steady_clock::now()));
+  apply_group_outputs(distribution->start(steady_clock::now()));
   start_store_reader();
   last_sweep = steady_clock::now();
   update_quotas(last_sweep);
@@ -250,7 +269,7 @@
   log.write("stopping", {{"within", daemon_settings.stop_within},
                          {"running", caller_server->active_requests()}});
   caller_server->drain();
-  apply_membership_outputs(members->leave(now, member_state::leaving));
+  apply_group_outputs(distribution->leave(now, member_state::leaving));
   continue_stop();
 }
 
@@ -260,7 +279,7 @@
   if (phase == stop_phase::refusing) caller_server->stop_accepting();
   if (phase == stop_phase::ended) {
     log.write("stopped", {{"running", caller_server->active_requests()}});
-    apply_membership_outputs(members->leave(now, member_state::left));
+    apply_group_outputs(distribution->leave(now, member_state::left));
     log.flush();
     timers.after(stop_poll_period, [this] { loop.stop(); });
     return;
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <numeric>
 
-#include "change_codec.hpp"
 #include "daemon_state.hpp"
 
 namespace medlarloft::tier {
@@ -21,28 +20,12 @@
 
 }  // namespace
 
-void daemon::state::apply_membership_outputs(
-    const membership::outputs& outputs) {
-  for (const membership::envelope& envelope : outputs.messages)
-    send(envelope);
-  for (const membership::received_notes& received : outputs.notes) {
-    for (const notes::release_note& note : received.chain) {
-      if (note.version <= view.records().last_revision()) continue;
-      const auto changes = decode_changes(note.text);
-      if (!changes) {
-        log.write("changes_not_read",
-                  {{"from", received.from}, {"revision", note.version}});
-        continue;
-      }
-      const time_point now = steady_clock::now();
-      // Base 0 means a full listing.
-      if (note.base == 0) {
-        view.apply_listing(now, *changes, note.version, received.from);
-      } else if (note.base <= view.records().last_revision()) {
-        view.apply(now, *changes, note.version, received.from);
-      }
-      publish_store_changes(received.root);
-    }
+void daemon::state::apply_group_outputs(
+    const change_distribution::outputs& outputs) {
+  for (const membership::envelope& envelope : outputs.messages) {
+    membership::message message = envelope.message;
+    message.load = loads.own_thousandths();
+    link->send(envelope.to, message);
   }
   for (const membership::member_event& event : outputs.events) {
     log.write("member", {{"member", event.id},
@@ -52,22 +35,25 @@
   schedule_membership_tick();
 }
 
-void daemon::state::send(const membership::envelope& envelope) {
-  membership::message message = envelope.message;
-  message.store_age = readers.store_age(steady_clock::now());
-  message.load = loads.own_thousandths();
-  message.store_failing = store && store->active() && store_failing;
-  link->send(envelope.to, message);
+void daemon::state::apply_peer_changes(time_point now,
+                                       const replica::store_copy::delta& delta,
+                                       std::string_view source) {
+  if (delta.listing) {
+    view.apply_listing(now, delta.changes, delta.last_revision, source);
+  } else {
+    view.apply(now, delta.changes, delta.last_revision, source);
+  }
 }
 
 // Starts or stops reading the store; see reader_selection.
 void daemon::state::update_reader_selection() {
   const time_point now = steady_clock::now();
-  view.set_store_reachable(now, readers.is_fresh(now));
-  if (store->active()) report_store_failure(now);
+  const reader_selection& readers = distribution->readers();
+  view.set_store_reachable(now, readers.store_answers(now));
+  report_store_failure(now);
+  apply_group_outputs(distribution->request_missing_changes(now));
   const bool should_read =
-      readers.should_read(now, *members, daemon_settings.data_centre,
-                          daemon_settings.id, data_centres.size());
+      distribution->should_read_store(now, data_centres.size());
   if (should_read != store->active()) {
     log.write(should_read ? "store_reading_begins" : "store_reading_ends",
               {{"revision", view.records().last_revision()},
@@ -78,53 +64,21 @@
                [this] { update_reader_selection(); });
 }
 
-// Every message carries the sender's load and its report of the store. A report
-// that came down the distribution tree is forwarded along the same tree.
 void daemon::state::handle_message(const membership::message& message) {
-  const time_point now = steady_clock::now();
-  const bool newer_report = readers.handle_report(now, message.store_age);
   loads.set_reported(message.from, message.load);
-  const bool reader_failing =
-      readers.set_failing(now, message.from, message.store_failing);
-  apply_membership_outputs(members->receive(now, message));
-  const bool only_report = message.kind == membership::message_kind::notes &&
-                           message.notes.empty() && !message.root.empty();
-  if ((newer_report || reader_failing) && only_report) {
-    apply_membership_outputs(members->broadcast_status(message.root, false));
-  }
+  apply_group_outputs(distribution->receive(steady_clock::now(), message));
 }
 
-// A reader without an answer reports this repeatedly, so that another daemon
-// reads at once.
 void daemon::state::report_store_failure(time_point now) {
-  if (!readers.set_failing(now, daemon_settings.id, store_failing)) return;
-  apply_membership_outputs(members->broadcast_status(daemon_settings.id, true));
-}
-
-// Sends the changes of this daemon's copy to the group. `root` is the daemon at
-// which the distribution of these changes began.
-void daemon::state::publish_store_changes(const std::string& root) {
-  const replica::revision revision = view.records().last_revision();
-  // The store answered without changes; only that is reported to the others.
-  if (revision == published_revision) {
-    for (const membership::envelope& envelope :
-         members->broadcast_status(root, root == daemon_settings.id).messages)
-      send(envelope);
-    return;
-  }
-  published_revision = revision;
-  // A revision has exactly one content, so it also serves as the digest.
-  auto outputs = members->set_note(steady_clock::now(), revision, revision,
-                                   root, root == daemon_settings.id);
-  for (const membership::envelope& envelope : outputs.messages)
-    send(envelope);
+  const bool failing = store->active() && store_failing;
+  apply_group_outputs(distribution->set_store_failing(now, failing));
 }
 
 void daemon::state::schedule_membership_tick() {
   timers.cancel(membership_timer);
-  membership_timer = timers.at(members->next_tick(), [this] {
+  membership_timer = timers.at(distribution->next_tick(), [this] {
     membership_timer = {};
-    apply_membership_outputs(members->tick(steady_clock::now()));
+    apply_group_outputs(distribution->tick(steady_clock::now()));
   });
 }
 
@@ -132,7 +86,7 @@
   const time_point now = steady_clock::now();
   if (now - last_sweep > pause_threshold) {
     log.write("woke_late", {{"after", now - last_sweep}});
-    apply_membership_outputs(members->reset_after_pause(now));
+    apply_group_outputs(distribution->reset_after_pause(now));
   }
   loop_lag = std::max(now - last_sweep - sweep_period, duration::zero());
   last_sweep = now;
@@ -153,7 +107,7 @@
               view.ready() ? to_double(view.table()->version()) : 0.0);
   metrics.set(gauge::store_revision, to_double(view.records().last_revision()));
   metrics.set(gauge::store_age_seconds,
-              seconds(readers.store_age(now)).count());
+              seconds(distribution->readers().copy_age(now)).count());
   metrics.set(gauge::members, to_double(quota.daemon_count()));
   const std::vector<leafs::leaf_status> statuses = leafs.statuses(now);
   const auto usable =
@@ -174,7 +128,7 @@
 
 // Shared limits are divided among all daemons that were recently reachable.
 void daemon::state::update_quotas(time_point now) {
-  for (const member_record& member : members->members()) {
+  for (const member_record& member : distribution->members().members()) {
     const bool reachable = member.state == member_state::alive ||
                            member.state == member_state::suspected ||
                            member.state == member_state::leaving;
--- a/packages/tier/src/daemon_state.hpp
+++ b/packages/tier/src/daemon_state.hpp
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "change_distribution.hpp"
 #include "connection_pool.hpp"
 #include "daemon_metrics.hpp"
 #include "event_log.hpp"
@@ -20,7 +21,6 @@
 #include "medlarloft/tier.hpp"
 #include "peer_link.hpp"
 #include "quota_calculator.hpp"
-#include "reader_selection.hpp"
 #include "request_task.hpp"
 #include "stop_sequence.hpp"
 #include "store_reader.hpp"
@@ -37,12 +37,13 @@
   void serve_addresses(const std::shared_ptr<http::exchange>& exchange);
   void serve_readiness(const std::shared_ptr<http::exchange>& exchange);
   std::vector<endpoint> addresses_for(const address_request& request) const;
-  void apply_membership_outputs(const membership::outputs& outputs);
+  void apply_group_outputs(const change_distribution::outputs& outputs);
+  void apply_peer_changes(time_point now,
+                          const replica::store_copy::delta& delta,
+                          std::string_view source);
   void handle_message(const membership::message& message);
   void report_store_failure(time_point now);
-  void publish_store_changes(const std::string& root);
   void update_reader_selection();
-  void send(const membership::envelope& envelope);
   void schedule_membership_tick();
   void sweep();
   /// Sets the counters and gauges whose values other parts hold.
@@ -74,10 +75,9 @@
   fanout::retry_budget budget;
   waiting::wait_queue queue;
   traffic_context traffic;
-  std::unique_ptr<membership::group> members;
+  std::unique_ptr<change_distribution> distribution;
   std::shared_ptr<peer_link> link;
   std::unique_ptr<store_reader> store;
-  reader_selection readers;
   std::set<std::string> data_centres;
   std::unique_ptr<http::server> caller_server;
   std::unique_ptr<http::server> readiness_server;
@@ -90,8 +90,6 @@
   time_point last_sweep{};
   /// The store did not answer the last call of this daemon.
   bool store_failing = false;
-  /// Revision of the last changes published to the other daemons.
-  replica::revision published_revision = 0;
   /// Delay of the last sweep.
   duration loop_lag{};
   stop_sequence stop;
--- a/packages/tier/src/daemon_traffic.cpp
+++ b/packages/tier/src/daemon_traffic.cpp
@@ -50,7 +50,7 @@
 std::vector<endpoint> daemon::state::addresses_for(
     const address_request& request) const {
   std::vector<address_candidate> candidates;
-  for (const member_record& member : members->members()) {
+  for (const member_record& member : distribution->members().members()) {
     const bool self = member.id == daemon_settings.id;
     if (self ? !ready() : member.state != member_state::alive) continue;
     candidates.push_back(
--- a/packages/tier/src/reader_selection.cpp
+++ b/packages/tier/src/reader_selection.cpp
@@ -12,13 +12,26 @@
 
 }  // namespace
 
+void reader_selection::confirm_at(time_point current_at) {
+  confirmed_at_ = std::max(confirmed_at_.value_or(current_at), current_at);
+}
+
 bool reader_selection::handle_report(time_point now,
-                                     std::chrono::milliseconds age) {
-  if (age == membership::unknown_store_age) return false;
-  const time_point answered_at = now - age;
+                                     const copy_report& report) {
+  if (report.age == membership::unknown_store_age) return false;
+  const time_point current_at = now - report.age;
+  answered_at_ = std::max(answered_at_.value_or(current_at), current_at);
+  if (report.revision > copy_revision_) {
+    const pending_report pending{report.revision, current_at};
+    if (!first_pending_) first_pending_ = pending;
+    if (!last_pending_ || pending.revision >= last_pending_->revision) {
+      last_pending_ = pending;
+    }
+    return false;
+  }
   const bool should_forward =
-      !answered_at_ || answered_at >= *answered_at_ + min_report_gain;
-  answered_at_ = std::max(answered_at_.value_or(answered_at), answered_at);
+      !confirmed_at_ || current_at >= *confirmed_at_ + min_report_gain;
+  confirm_at(current_at);
   return should_forward;
 }
 
@@ -26,6 +39,26 @@
   answered_at_ = now;
 }
 
+void reader_selection::set_copy_revision(replica::revision revision) {
+  copy_revision_ = std::max(copy_revision_, revision);
+  if (first_pending_ && first_pending_->revision <= copy_revision_) {
+    confirm_at(first_pending_->current_at);
+    first_pending_.reset();
+  }
+  if (last_pending_ && last_pending_->revision <= copy_revision_) {
+    confirm_at(last_pending_->current_at);
+    last_pending_.reset();
+  }
+  if (!first_pending_) first_pending_ = last_pending_;
+}
+
+void reader_selection::confirm_copy(time_point now,
+                                    replica::revision revision) {
+  store_answered(now);
+  set_copy_revision(revision);
+  confirm_at(now);
+}
+
 bool reader_selection::set_failing(time_point now, const std::string& reader,
                                    bool failing) {
   if (!failing) {
@@ -39,16 +72,32 @@
   return should_report;
 }
 
-std::chrono::milliseconds reader_selection::store_age(time_point now) const {
-  if (!answered_at_) return membership::unknown_store_age;
+std::chrono::milliseconds reader_selection::copy_age(time_point now) const {
+  if (!confirmed_at_) return membership::unknown_store_age;
   return std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                               *answered_at_);
+                                                               *confirmed_at_);
 }
 
 bool reader_selection::is_fresh(time_point now) const {
+  return confirmed_at_ && now - *confirmed_at_ < options_.stale_after;
+}
+
+bool reader_selection::store_answers(time_point now) const {
   return answered_at_ && now - *answered_at_ < options_.stale_after;
 }
 
+bool reader_selection::should_request_changes(time_point now) {
+  const duration request_after =
+      options_.stale_after / options_.request_divisor;
+  const bool confirmed =
+      now - confirmed_at_.value_or(started_at_) < request_after;
+  const bool requested =
+      requested_at_ && now - *requested_at_ < options_.request_interval;
+  if (confirmed || requested) return false;
+  requested_at_ = now;
+  return true;
+}
+
 bool reader_selection::should_read(time_point now,
                                    const membership::group& members,
                                    const std::string& data_centre,
@@ -71,10 +120,15 @@
   const auto first = candidates.begin();
   const auto last = first + static_cast<std::ptrdiff_t>(std::min(
                                 readers_per_data_centre, candidates.size()));
-  if (now < started_at_ + options_.startup_delay && !answered_at_) return false;
-  if (!is_fresh(now)) {
-    takeover_until_ = now + (answered_at_ ? options_.min_takeover_time
-                                          : options_.min_initial_takeover_time);
+  if (now < started_at_ + options_.startup_delay && !confirmed_at_)
+    return false;
+  // The first listing takes longer to arrive than the first reports.
+  const bool first_listing_due = copy_revision_ == 0 && store_answers(now) &&
+                                 now < started_at_ + options_.stale_after;
+  if (!is_fresh(now) && !first_listing_due) {
+    takeover_until_ =
+        now + (confirmed_at_ ? options_.min_takeover_time
+                             : options_.min_initial_takeover_time);
   }
   if (takeover_until_ && now < *takeover_until_) return true;
   return self_failing || std::find(first, last, id) != last;
--- a/packages/tier/src/reader_selection.hpp
+++ b/packages/tier/src/reader_selection.hpp
@@ -1,27 +1,40 @@
 #pragma once
 
 /// Decides whether this daemon reads the store. A few daemons read it for all,
-/// and the others get the changes from them. A daemon that has no recent report
-/// that the store answers takes over and reads the store itself. No I/O; time
-/// is an argument.
+/// and the others get the changes from them. A daemon whose copy was not
+/// recently confirmed to be current asks other daemons, then takes over and
+/// reads the store itself. No I/O; time is an argument.
 
 #include <map>
 #include <optional>
 #include <string>
 
 #include "medlarloft/membership.hpp"
+#include "medlarloft/replica.hpp"
 
 namespace medlarloft::tier {
 
+/// A daemon's statement about its copy: it holds all changes up to `revision`,
+/// and `age` ago the store had no later ones.
+struct copy_report {
+  replica::revision revision = 0;
+  std::chrono::milliseconds age = membership::unknown_store_age;
+};
+
 class reader_selection {
  public:
   struct options {
     /// Readers in all data centres together; each data centre has at least one.
     std::size_t min_readers = 3;
-    /// A daemon that has received no report that the store answered for this
-    /// long reads the store itself.
-    /// Longer than a call to the store and the distribution of its report.
+    /// A daemon whose copy was not confirmed for this long reads the store
+    /// itself. Longer than a call to the store and the distribution of its
+    /// report.
     duration stale_after = std::chrono::milliseconds(4500);
+    /// A daemon whose copy was not confirmed for `stale_after` divided by this
+    /// asks other daemons for changes.
+    int request_divisor = 2;
+    /// Interval between two such requests.
+    duration request_interval = std::chrono::milliseconds(500);
     /// A daemon that took over reads for at least this time.
     duration min_takeover_time = std::chrono::seconds(10);
     /// The same before the first report, when the reports of other daemons may
@@ -39,30 +52,56 @@
   reader_selection(options settings, time_point started_at)
       : options_(settings), started_at_(started_at) {}
 
-  /// Handles another daemon's report of how long ago the store last answered
-  /// some daemon. Returns whether the report should be forwarded.
-  bool handle_report(time_point now, std::chrono::milliseconds age);
-  /// The store answered this daemon.
+  /// Handles another daemon's report. It confirms the copy of this daemon only
+  /// once that holds the reported revision too: a report may overtake changes
+  /// that were lost. Returns whether the report should be forwarded.
+  bool handle_report(time_point now, const copy_report& report);
+  /// The store answered this daemon, possibly without any changes.
   void store_answered(time_point now);
+  /// The copy of this daemon holds all changes up to `revision`.
+  void set_copy_revision(replica::revision revision);
+  /// The store told this daemon that `revision` is its latest.
+  void confirm_copy(time_point now, replica::revision revision);
   /// The store does not answer `reader`, or answers it again. While it fails,
   /// the next daemon of its data centre reads. Returns whether this should be
   /// reported to others.
   bool set_failing(time_point now, const std::string& reader, bool failing);
 
-  /// Time since the store last answered some daemon, for reports to others.
-  std::chrono::milliseconds store_age(time_point now) const;
-  /// Whether the store recently answered some daemon.
+  /// Time since this daemon's copy was last known to be current, for reports to
+  /// others.
+  std::chrono::milliseconds copy_age(time_point now) const;
+  /// Whether this daemon's copy was recently known to be current.
   bool is_fresh(time_point now) const;
+  /// Whether the store recently answered some daemon.
+  bool store_answers(time_point now) const;
 
+  /// Whether this daemon should ask another one for changes now. Returns true
+  /// once per `request_interval`.
+  bool should_request_changes(time_point now);
   /// Whether this daemon should read the store now.
   bool should_read(time_point now, const membership::group& members,
                    const std::string& data_centre, const std::string& id,
                    std::size_t data_centres);
 
  private:
+  /// A report about a revision that this daemon's copy lacks.
+  struct pending_report {
+    replica::revision revision = 0;
+    time_point current_at;
+  };
+  void confirm_at(time_point current_at);
+
   options options_;
   time_point started_at_;
+  replica::revision copy_revision_ = 0;
+  /// When this daemon's copy was last known to be current.
+  std::optional<time_point> confirmed_at_;
+  /// The pending reports with the lowest and the highest revision.
+  std::optional<pending_report> first_pending_;
+  std::optional<pending_report> last_pending_;
+  /// When the store last answered any daemon.
   std::optional<time_point> answered_at_;
+  std::optional<time_point> requested_at_;
   std::optional<time_point> takeover_until_;
   /// Readers that last reported a failing store, and when they did.
   std::map<std::string, time_point> failing_;
--- a/packages/tier/src/store_reader.cpp
+++ b/packages/tier/src/store_reader.cpp
@@ -148,9 +148,13 @@
     return;
   }
   handle_success();
+  const bool advanced = page.value().revision > revision_;
   revision_ = std::max(revision_, page.value().revision);
-  hooks_.on_changes(page.value().changes, page.value().revision);
-  if (page.value().changes.empty()) {
+  hooks_.on_changes(page.value());
+  // A pause after a full page would let the store get ahead for good when it
+  // changes faster than one page for each pause.
+  if (page.value().changes.empty() ||
+      (page.value().may_have_more && advanced)) {
     call_next();
   } else {
     schedule_next_call(hooks_.pause_after_changes());
--- a/packages/tier/src/store_reader.hpp
+++ b/packages/tier/src/store_reader.hpp
@@ -34,14 +34,13 @@
     std::uint64_t seed = 1;
   };
   struct hooks {
-    std::function<void(const std::vector<replica::change>&, replica::revision)>
-        on_changes;
+    std::function<void(const changes_page&)> on_changes;
     std::function<void(const std::vector<replica::change>&, replica::revision)>
         on_listing;
     /// The store answered a call.
     std::function<void()> on_answer;
-    /// Returns how long to wait after a call that returned changes, so that the
-    /// next call returns several at once.
+    /// Returns how long to wait after a call that returned the latest changes,
+    /// so that the next call returns several at once.
     std::function<duration()> pause_after_changes;
     /// The store became reachable or unreachable; called once per transition.
     std::function<void(bool reachable, const std::string& reason)>
--- /dev/null
+++ b/packages/tier/tests/change_distribution_test.cpp
@@ -0,0 +1,160 @@
+#include "change_distribution.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "simulated_fleet.hpp"
+
+namespace medlarloft::tier {
+namespace {
+
+using std::chrono::seconds;
+using testing::simulated_fleet;
+
+constexpr std::array<std::size_t, 3> fleet_sizes{10, 60, 295};
+/// Time in which the readers of a fleet are settled after its start.
+constexpr duration settling_time = seconds(12);
+
+/// A run takes longer the larger the fleet is.
+std::uint64_t seeds_for(std::size_t daemons) {
+  return daemons > 100 ? 1 : 4;
+}
+
+/// Expects that a configuration written now is in force everywhere in time.
+void expect_in_force(simulated_fleet& fleet, const propagation_limits& limits) {
+  const int number = fleet.configure();
+  fleet.run_for(limits.configuration);
+  EXPECT_EQ(fleet.behind(number), std::vector<std::size_t>{});
+}
+
+std::set<std::size_t> readers_of(const simulated_fleet& fleet,
+                                 std::size_t daemons) {
+  std::set<std::size_t> readers;
+  for (std::size_t i = 0; i < daemons; ++i)
+    if (fleet.reads(i)) readers.insert(i);
+  return readers;
+}
+
+TEST(change_distribution, a_change_reaches_all_daemons) {
+  for (const std::size_t daemons : fleet_sizes) {
+    SCOPED_TRACE(daemons);
+    const simulated_fleet::options settings{.daemons = daemons};
+    simulated_fleet fleet(settings);
+    fleet.run_for(settling_time);
+    EXPECT_EQ(fleet.reader_count(), settings.data_centres);
+    expect_in_force(fleet, settings.limits);
+  }
+}
+
+// The messages with changes to one daemon are lost, as on connections that a
+// cut has silenced, while small messages arrive. They say that the store
+// answers, but the copy of this daemon stays behind: it must read by itself.
+TEST(change_distribution, a_daemon_that_receives_only_reports_takes_over) {
+  for (const std::size_t daemons : fleet_sizes) {
+    SCOPED_TRACE(daemons);
+    const simulated_fleet::options settings{.daemons = daemons};
+    simulated_fleet fleet(settings);
+    fleet.run_for(settling_time);
+    std::size_t deaf = 0;
+    while (fleet.reads(deaf))
+      ++deaf;
+    fleet.set_link_rule([deaf](std::size_t, std::size_t to,
+                               const membership::message& message) {
+      return to != deaf || message.notes.empty();
+    });
+    expect_in_force(fleet, settings.limits);
+    EXPECT_TRUE(fleet.reads(deaf));
+    EXPECT_LE(fleet.reader_count(), settings.data_centres + 1);
+  }
+}
+
+// The store turns away all readers and a third of the other daemons, from just
+// after its last answer on.
+TEST(change_distribution, others_read_when_the_store_turns_the_readers_away) {
+  for (const std::size_t daemons : fleet_sizes) {
+    for (std::uint64_t seed = 1; seed <= seeds_for(daemons); ++seed) {
+      SCOPED_TRACE(std::to_string(daemons) + " seed " + std::to_string(seed));
+      const simulated_fleet::options settings{.daemons = daemons, .seed = seed};
+      simulated_fleet fleet(settings);
+      fleet.run_for(settling_time + std::chrono::milliseconds(700) * seed);
+      const auto turned_away = readers_of(fleet, daemons);
+      fleet.set_store_rule([turned_away](std::size_t daemon) {
+        return daemon % 3 != 1 && !turned_away.contains(daemon);
+      });
+      expect_in_force(fleet, settings.limits);
+      expect_in_force(fleet, settings.limits);
+    }
+  }
+}
+
+// A data centre is cut off from the others with its reader, which the store
+// turns away. Its other daemons must read.
+TEST(change_distribution, a_data_centre_that_is_cut_off_reads_by_itself) {
+  for (const std::size_t daemons : fleet_sizes) {
+    SCOPED_TRACE(daemons);
+    const simulated_fleet::options settings{.daemons = daemons};
+    simulated_fleet fleet(settings);
+    fleet.run_for(settling_time);
+    const auto turned_away = readers_of(fleet, daemons);
+    fleet.set_store_rule([turned_away](std::size_t daemon) {
+      return !turned_away.contains(daemon);
+    });
+    fleet.set_link_rule(
+        [&fleet](std::size_t from, std::size_t to, const membership::message&) {
+          return (fleet.centre_of(from) == 2) == (fleet.centre_of(to) == 2);
+        });
+    expect_in_force(fleet, settings.limits);
+  }
+}
+
+// Every tenth message is lost, and the store turns away a changing third of the
+// daemons.
+TEST(change_distribution, changes_arrive_in_time_despite_random_losses) {
+  for (const std::size_t daemons : fleet_sizes) {
+    for (std::uint64_t seed = 1; seed <= seeds_for(daemons); ++seed) {
+      SCOPED_TRACE(std::to_string(daemons) + " seed " + std::to_string(seed));
+      const simulated_fleet::options settings{
+          .daemons = daemons, .seed = seed, .loss = 0.1};
+      simulated_fleet fleet(settings);
+      fleet.run_for(settling_time);
+      for (std::uint64_t round = 0; round < 3; ++round) {
+        fleet.set_store_rule([seed, round](std::size_t daemon) {
+          return hash_combine(seed * 10 + round, daemon) % 3 != 0;
+        });
+        expect_in_force(fleet, settings.limits);
+      }
+    }
+  }
+}
+
+// More registrations change during a reader's pause than fit into one response
+// of the store.
+TEST(change_distribution, a_change_arrives_in_time_behind_many_heartbeats) {
+  for (const std::size_t daemons : fleet_sizes) {
+    SCOPED_TRACE(daemons);
+    const simulated_fleet::options settings{.daemons = daemons,
+                                            .heartbeat_rate = 800};
+    simulated_fleet fleet(settings);
+    fleet.run_for(settling_time);
+    expect_in_force(fleet, settings.limits);
+    expect_in_force(fleet, settings.limits);
+  }
+}
+
+// Reading has a price, and the rate of all daemons together is limited.
+TEST(change_distribution, a_calm_fleet_makes_few_calls_to_the_store) {
+  for (const std::size_t daemons : fleet_sizes) {
+    SCOPED_TRACE(daemons);
+    const simulated_fleet::options settings{.daemons = daemons};
+    simulated_fleet fleet(settings);
+    fleet.run_for(settling_time);
+    const std::uint64_t before = fleet.store_calls();
+    fleet.run_for(seconds(10));
+    // One reader of each data centre, with a pause of two seconds.
+    EXPECT_LE(fleet.store_calls() - before, settings.data_centres * 6);
+  }
+}
+
+}  // namespace
+}  // namespace medlarloft::tier
--- a/packages/tier/tests/reader_selection_test.cpp
+++ b/packages/tier/tests/reader_selection_test.cpp
@@ -41,10 +41,11 @@
 
 TEST(reader_selection, forwards_reports_that_are_newer) {
   reader_selection selection({}, start);
-  EXPECT_TRUE(selection.handle_report(start, milliseconds(900)));
-  EXPECT_FALSE(selection.handle_report(start, milliseconds(800)));
-  EXPECT_TRUE(selection.handle_report(start, milliseconds(100)));
-  EXPECT_FALSE(selection.handle_report(start, membership::unknown_store_age));
+  EXPECT_TRUE(selection.handle_report(start, {.age = milliseconds(900)}));
+  EXPECT_FALSE(selection.handle_report(start, {.age = milliseconds(800)}));
+  EXPECT_TRUE(selection.handle_report(start, {.age = milliseconds(100)}));
+  EXPECT_FALSE(
+      selection.handle_report(start, {.age = membership::unknown_store_age}));
 }
 
 // The store refuses one reader and answers others. The next daemon of its data
@@ -54,7 +55,7 @@
                         duration elapsed) {
     const auto members = group_of(id, 9);
     reader_selection selection({}, start);
-    selection.store_answered(start + elapsed);
+    selection.confirm_copy(start + elapsed, 0);
     if (!failing.empty()) selection.set_failing(start, failing, true);
     return selection.should_read(start + elapsed, members, "z0", id, 3);
   };
@@ -90,7 +91,7 @@
   const auto three = seconds(3);
   reader_selection selection(
       {.stale_after = stale_after({.configuration = three})}, start);
-  selection.store_answered(start);
+  selection.confirm_copy(start, 0);
   EXPECT_FALSE(selection.is_fresh(start + three - milliseconds(500)));
   EXPECT_EQ(stale_after({.configuration = seconds(60)}), milliseconds(4500));
 }
@@ -126,7 +127,7 @@
     EXPECT_EQ(count_readers(
                   daemons,
                   [](reader_selection& selection) {
-                    selection.handle_report(start, milliseconds(0));
+                    selection.handle_report(start, {.age = milliseconds(0)});
                   },
                   start + seconds(1)),
               3);
@@ -138,7 +139,7 @@
   EXPECT_EQ(count_readers(
                 9,
                 [](reader_selection& selection) {
-                  selection.handle_report(start, milliseconds(0));
+                  selection.handle_report(start, {.age = milliseconds(0)});
                 },
                 start + seconds(5)),
             9);
@@ -149,15 +150,16 @@
   const auto members = group_of("d0", 60);
   // Whether d0 is a reader of its data centre while reports are recent.
   reader_selection up_to_date({}, start);
-  up_to_date.handle_report(start, milliseconds(0));
+  up_to_date.handle_report(start, {.age = milliseconds(0)});
   const bool is_reader = up_to_date.should_read(start, members, "z0", "d0", 3);
-  selection.handle_report(start, milliseconds(0));
+  selection.handle_report(start, {.age = milliseconds(0)});
   const time_point reports_stale = start + seconds(5);
   EXPECT_TRUE(selection.should_read(reports_stale, members, "z0", "d0", 3));
-  selection.handle_report(reports_stale + seconds(1), milliseconds(0));
+  selection.handle_report(reports_stale + seconds(1), {.age = milliseconds(0)});
   EXPECT_TRUE(selection.should_read(reports_stale + seconds(2), members, "z0",
                                     "d0", 3));
-  selection.handle_report(reports_stale + seconds(11), milliseconds(0));
+  selection.handle_report(reports_stale + seconds(11),
+                          {.age = milliseconds(0)});
   EXPECT_EQ(selection.should_read(reports_stale + seconds(12), members, "z0",
                                   "d0", 3),
             is_reader);
@@ -170,14 +172,14 @@
   const std::string id = "d59";
   const auto members = group_of(id, 60);
   reader_selection up_to_date({}, start);
-  up_to_date.handle_report(start, milliseconds(0));
+  up_to_date.handle_report(start, {.age = milliseconds(0)});
   ASSERT_FALSE(up_to_date.should_read(start, members, "z2", id, 3));
   reader_selection selection({}, start);
   EXPECT_TRUE(selection.should_read(start, members, "z2", id, 3));
-  selection.handle_report(start + milliseconds(200), milliseconds(0));
+  selection.handle_report(start + milliseconds(200), {.age = milliseconds(0)});
   EXPECT_TRUE(
       selection.should_read(start + milliseconds(400), members, "z2", id, 3));
-  selection.handle_report(start + milliseconds(1500), milliseconds(0));
+  selection.handle_report(start + milliseconds(1500), {.age = milliseconds(0)});
   EXPECT_FALSE(
       selection.should_read(start + milliseconds(1600), members, "z2", id, 3));
 }
@@ -191,14 +193,62 @@
       selection.should_read(start + milliseconds(400), members, "z0", "d0", 3));
 }
 
+// Reports travel apart from the changes. A daemon that receives reports but not
+// the changes is behind, though the store answers others.
+TEST(reader_selection, a_report_about_missing_changes_does_not_confirm_a_copy) {
+  reader_selection selection({}, start);
+  const auto members = group_of("d0", 60);
+  selection.confirm_copy(start, 10);
+  for (int i = 1; i <= 5; ++i) {
+    const time_point now = start + seconds(i);
+    const auto revision = static_cast<replica::revision>(10 + i);
+    EXPECT_FALSE(selection.handle_report(
+        now, {.revision = revision, .age = milliseconds(0)}));
+  }
+  EXPECT_TRUE(selection.store_answers(start + seconds(5)));
+  EXPECT_FALSE(selection.is_fresh(start + seconds(5)));
+  EXPECT_TRUE(
+      selection.should_read(start + seconds(5), members, "z0", "d0", 3));
+  EXPECT_EQ(selection.copy_age(start + seconds(5)), seconds(5));
+}
+
+TEST(reader_selection, a_report_confirms_the_copy_once_its_changes_arrive) {
+  reader_selection selection({}, start);
+  selection.confirm_copy(start, 10);
+  const auto report = [&selection](int second, replica::revision revision) {
+    selection.handle_report(start + seconds(second),
+                            {.revision = revision, .age = milliseconds(0)});
+  };
+  report(1, 12);
+  report(2, 14);
+  report(3, 16);
+  selection.set_copy_revision(12);
+  EXPECT_EQ(selection.copy_age(start + seconds(3)), seconds(2));
+  selection.set_copy_revision(16);
+  EXPECT_EQ(selection.copy_age(start + seconds(3)), seconds(0));
+}
+
+TEST(reader_selection, requests_changes_while_the_copy_is_not_confirmed) {
+  reader_selection selection({.stale_after = seconds(4)}, start);
+  selection.confirm_copy(start, 10);
+  EXPECT_FALSE(selection.should_request_changes(start + milliseconds(1900)));
+  EXPECT_TRUE(selection.should_request_changes(start + milliseconds(2000)));
+  EXPECT_FALSE(selection.should_request_changes(start + milliseconds(2400)));
+  EXPECT_TRUE(selection.should_request_changes(start + milliseconds(2500)));
+  selection.handle_report(start + milliseconds(2600),
+                          {.revision = 10, .age = milliseconds(0)});
+  EXPECT_FALSE(selection.should_request_changes(start + milliseconds(3100)));
+}
+
 TEST(reader_selection, reports_age) {
   reader_selection selection({}, start);
-  EXPECT_EQ(selection.store_age(start), membership::unknown_store_age);
-  selection.handle_report(start, milliseconds(500));
-  EXPECT_EQ(selection.store_age(start + seconds(1)), milliseconds(1500));
-  selection.handle_report(start + seconds(1), milliseconds(4000));
-  EXPECT_EQ(selection.store_age(start + seconds(1)), milliseconds(1500));
-  selection.handle_report(start + seconds(1), membership::unknown_store_age);
+  EXPECT_EQ(selection.copy_age(start), membership::unknown_store_age);
+  selection.handle_report(start, {.age = milliseconds(500)});
+  EXPECT_EQ(selection.copy_age(start + seconds(1)), milliseconds(1500));
+  selection.handle_report(start + seconds(1), {.age = milliseconds(4000)});
+  EXPECT_EQ(selection.copy_age(start + seconds(1)), milliseconds(1500));
+  selection.handle_report(start + seconds(1),
+                          {.age = membership::unknown_store_age});
   EXPECT_TRUE(selection.is_fresh(start + seconds(2)));
   EXPECT_FALSE(selection.is_fresh(start + seconds(5)));
 }
--- a/packages/tier/tests/store_reader_test.cpp
+++ b/packages/tier/tests/store_reader_test.cpp
@@ -37,7 +37,9 @@
   platform.read_changes =
       [read](std::string_view text) -> result<changes_page, adapter_error> {
     listing_page page = read(text);
-    return changes_page{.changes = page.records, .revision = page.revision};
+    return changes_page{.changes = page.records,
+                        .revision = page.revision,
+                        .may_have_more = page.has_more};
   };
   return platform;
 }
@@ -61,25 +63,26 @@
   }
 
   void start(replica::revision known = 0) {
-    reader.emplace(
-        loop, timers,
-        store_reader::options{.store = {"127.0.0.1", port},
-                              .long_poll_timeout = milliseconds(100),
-                              .call_timeout = milliseconds(90),
-                              .min_backoff = milliseconds(5),
-                              .max_backoff = milliseconds(20)},
-        platform,
-        store_reader::hooks{
-            .on_changes = [this](const auto& records,
-                                 auto) { changes += records.size(); },
-            .on_listing = [this](const auto& records,
-                                 auto) { listed += records.size(); },
-            .on_answer = [] {},
-            .pause_after_changes = [] { return milliseconds(1); },
-            .on_reachability_changed =
-                [this](bool now_reachable, const std::string&) {
-                  reachable = now_reachable;
-                }});
+    reader.emplace(loop, timers,
+                   store_reader::options{.store = {"127.0.0.1", port},
+                                         .long_poll_timeout = milliseconds(100),
+                                         .call_timeout = milliseconds(90),
+                                         .min_backoff = milliseconds(5),
+                                         .max_backoff = milliseconds(20)},
+                   platform,
+                   store_reader::hooks{
+                       .on_changes =
+                           [this](const changes_page& page) {
+                             changes += page.changes.size();
+                           },
+                       .on_listing = [this](const auto& records,
+                                            auto) { listed += records.size(); },
+                       .on_answer = [] {},
+                       .pause_after_changes = [this] { return pause; },
+                       .on_reachability_changed =
+                           [this](bool now_reachable, const std::string&) {
+                             reachable = now_reachable;
+                           }});
     reader->set_active(true, known);
   }
 
@@ -101,6 +104,7 @@
   std::size_t changes = 0;
   std::size_t listed = 0;
   std::optional<bool> reachable;
+  duration pause = milliseconds(1);
 };
 
 TEST_F(store_reader_test, lists_all_pages_and_then_follows_the_changes) {
@@ -122,6 +126,21 @@
   EXPECT_EQ(targets.front(), "/changes?after=8");
 }
 
+// Heartbeats of many leafs fill a page of the store in less than a pause. With
+// a pause after each page the reader gets further and further behind: the large
+// deployment read a configuration six seconds after it was written (trouble-1).
+TEST_F(store_reader_test, reads_on_without_a_pause_after_a_full_page) {
+  pause = seconds(60);
+  responses = {{.status = 200, .body = R"([9,true,[["c",9,"z"]]])"},
+               {.status = 200, .body = R"([12,true,[["d",12,"z"]]])"},
+               {.status = 200, .body = R"([13,false,[["e",13,"z"]]])"}};
+  start(8);
+  EXPECT_TRUE(run_until([this] { return changes == 3; }));
+  EXPECT_EQ(targets,
+            (std::vector<std::string>{"/changes?after=8", "/changes?after=9",
+                                      "/changes?after=12"}));
+}
+
 TEST_F(store_reader_test, lists_again_when_the_store_lost_the_history) {
   responses = {{.status = 410}, {.status = 200, .body = R"([9,false,[]])"}};
   start(8);
