tier: after a pause, send nothing on an old view

Change: pause_guard notices a gap of 2 s in the uptime, which also counts suspended time, before a request, a message or an answer of the store is handled. Confirmations of the copy are discarded; for 1 s only an answer to a new join or to a new call of the store confirms it again, and a reader opens a new connection. Until then, 1 s at most, requests wait and open ones pick no leaf.

--- a/packages/base/include/medlarloft/base.hpp
+++ b/packages/base/include/medlarloft/base.hpp
@@ -32,6 +32,10 @@
 using time_point = steady_clock::time_point;
 using duration = steady_clock::duration;
 
+/// Returns the time since the host started. Unlike the steady clock, it counts
+/// the time in which the host was suspended.
+duration uptime() noexcept;
+
 /// Wall clock time, used only for timestamps.
 using wall_time = std::chrono::sys_time<std::chrono::microseconds>;
 
--- a/packages/base/src/base.cpp
+++ b/packages/base/src/base.cpp
@@ -5,9 +5,18 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ctime>
 
 namespace medlarloft {
 
+duration uptime() noexcept {
+  timespec time{};
+  // Fails only for a clock that the kernel does not have; Linux has this one.
+  static_cast<void>(::clock_gettime(CLOCK_BOOTTIME, &time));
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
+}
+
 std::uint64_t hash64(std::string_view text, std::uint64_t seed) noexcept {
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
--- a/packages/tier/src/change_distribution.cpp
+++ b/packages/tier/src/change_distribution.cpp
@@ -8,6 +8,9 @@
 namespace medlarloft::tier {
 namespace {
 
+/// How long messages may be delivered late after a pause.
+constexpr duration late_delivery_time = std::chrono::seconds(1);
+
 /// Base of a note that holds a full listing instead of changes.
 constexpr notes::note_version listing_base = 0;
 
@@ -44,6 +47,8 @@
 
 change_distribution::outputs change_distribution::reset_after_pause(
     time_point now) {
+  readers_.discard_confirmations();
+  ignore_reports_until_ = now + late_delivery_time;
   outputs out;
   collect(now, out, members_.reset_after_pause(now));
   return out;
@@ -61,8 +66,12 @@
 change_distribution::outputs change_distribution::receive(
     time_point now, const membership::message& received) {
   outputs out;
-  const bool newer_report = readers_.handle_report(
-      now, {.revision = received.version, .age = received.store_age});
+  const bool answers_join =
+      received.kind == membership::message_kind::join_response;
+  const bool newer_report =
+      (answers_join || now >= ignore_reports_until_) &&
+      readers_.handle_report(
+          now, {.revision = received.version, .age = received.store_age});
   const bool reader_failing =
       readers_.set_failing(now, received.from, received.store_failing);
   membership::outputs from_group = members_.receive(now, received);
--- a/packages/tier/src/change_distribution.hpp
+++ b/packages/tier/src/change_distribution.hpp
@@ -47,6 +47,9 @@
   outputs tick(time_point now);
   time_point next_tick() const { return members_.next_tick(); }
   outputs receive(time_point now, const membership::message& received);
+  /// Call after the process was paused. What arrives next may have waited
+  /// meanwhile, so that its age is unknown: only an answer to a new join, or of
+  /// the store to a new call, confirms the copy.
   outputs reset_after_pause(time_point now);
   outputs leave(time_point now, membership::member_state state);
 
@@ -81,6 +84,8 @@
   /// Revision of the last changes sent to the other daemons.
   replica::revision published_revision_ = 0;
   bool store_failing_ = false;
+  /// Until then, reports are ignored unless they answer a new join.
+  time_point ignore_reports_until_{};
 };
 
 }  // namespace medlarloft::tier
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -110,11 +110,21 @@
       loads({.id = daemon_settings.id,
              .capacity = capacity_of(daemon_settings),
              .started_at = started_at}),
+      pauses({}, uptime()),
       budget({.ratio = daemon_settings.retries.ratio,
               .slack = daemon_settings.retries.slack,
               .window = daemon_settings.retries.window,
               .slack_fraction = quota.fraction()}),
-      traffic{timers, platform, leafs, pool, budget, queue, log, metrics},
+      traffic{timers,
+              platform,
+              leafs,
+              pool,
+              budget,
+              queue,
+              log,
+              metrics,
+              [this] { check_pause(); },
+              [this] { return !holds_requests(); }},
       stop({.stop_within = daemon_settings.stop_within,
             .address_ttl = address_ttl() * address_ttl_factor}) {}
 
@@ -130,6 +140,7 @@
       store_reader::hooks{
           .on_changes =
               [this](const changes_page& page) {
+                check_pause();
                 const time_point now = steady_clock::now();
                 view.apply(now, page.changes, page.revision, "store");
                 apply_group_outputs(distribution->on_store_read(
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -15,8 +15,6 @@
 constexpr duration selection_period = milliseconds(100);
 /// The same until there is a configuration.
 constexpr duration initial_selection_period = milliseconds(40);
-/// A longer time between two sweeps shows that the process was paused.
-constexpr duration pause_threshold = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -47,6 +45,7 @@
 
 // Starts or stops reading the store; see reader_selection.
 void daemon::state::update_reader_selection() {
+  check_pause();
   const time_point now = steady_clock::now();
   const reader_selection& readers = distribution->readers();
   view.set_store_reachable(now, readers.store_answers(now));
@@ -65,6 +64,7 @@
 }
 
 void daemon::state::handle_message(const membership::message& message) {
+  check_pause();
   loads.set_reported(message.from, message.load);
   apply_group_outputs(distribution->receive(steady_clock::now(), message));
 }
@@ -82,12 +82,28 @@
   });
 }
 
+// Answers of the store may have waited in the socket since before the pause, so
+// they are read again over a new connection.
+void daemon::state::check_pause() {
+  const time_point now = steady_clock::now();
+  const auto pause = pauses.check(now, uptime());
+  if (!pause) return;
+  log.write("woke_late", {{"after", *pause}});
+  apply_group_outputs(distribution->reset_after_pause(now));
+  if (!store->active()) return;
+  store->set_active(false, 0);
+  store->set_active(true, view.records().last_revision());
+}
+
+bool daemon::state::holds_requests() {
+  if (!pauses.woken()) return false;
+  const time_point now = steady_clock::now();
+  return pauses.holds(now, distribution->readers().is_fresh(now));
+}
+
 void daemon::state::sweep() {
   const time_point now = steady_clock::now();
-  if (now - last_sweep > pause_threshold) {
-    log.write("woke_late", {{"after", now - last_sweep}});
-    apply_group_outputs(distribution->reset_after_pause(now));
-  }
+  check_pause();
   loop_lag = std::max(now - last_sweep - sweep_period, duration::zero());
   last_sweep = now;
   loads.update_own(now, metrics.value(counter::leaf_requests));
--- a/packages/tier/src/daemon_state.hpp
+++ b/packages/tier/src/daemon_state.hpp
@@ -19,6 +19,7 @@
 #include "event_log.hpp"
 #include "fleet_load.hpp"
 #include "medlarloft/tier.hpp"
+#include "pause_guard.hpp"
 #include "peer_link.hpp"
 #include "quota_calculator.hpp"
 #include "request_task.hpp"
@@ -46,6 +47,12 @@
   void update_reader_selection();
   void schedule_membership_tick();
   void sweep();
+  /// Notices that the process was paused; must be called before the view is
+  /// used.
+  void check_pause();
+  /// Whether the view may be outdated, since the process was paused.
+  bool holds_requests();
+  void hold(const std::shared_ptr<http::exchange>& exchange);
   /// Sets the counters and gauges whose values other parts hold.
   void update_metrics(time_point now);
   void update_quotas(time_point now);
@@ -72,6 +79,7 @@
   connection_pool pool;
   quota_calculator quota;
   fleet_load loads;
+  pause_guard pauses;
   fanout::retry_budget budget;
   waiting::wait_queue queue;
   traffic_context traffic;
--- a/packages/tier/src/daemon_traffic.cpp
+++ b/packages/tier/src/daemon_traffic.cpp
@@ -24,6 +24,9 @@
 /// longer it will probably take.
 constexpr duration min_not_ready_retry = milliseconds(150);
 constexpr duration max_not_ready_retry = std::chrono::seconds(1);
+/// Requests that arrive right after a pause of the process are looked at again
+/// at this interval.
+constexpr duration hold_poll_period = milliseconds(5);
 /// Retry delay sent by a stopping daemon; callers then try another one.
 constexpr duration stopping_retry = milliseconds(50);
 
@@ -93,7 +96,21 @@
   exchange->respond({.status = ready() ? status_ok : status_unavailable});
 }
 
+// Serves the request once the view was confirmed, unless its caller leaves.
+void daemon::state::hold(const std::shared_ptr<http::exchange>& exchange) {
+  const auto left = std::make_shared<bool>(false);
+  exchange->on_disconnect([left] { *left = true; });
+  timers.after(hold_poll_period, [this, exchange, left] {
+    if (!*left) serve(exchange);
+  });
+}
+
 void daemon::state::serve(std::shared_ptr<http::exchange> exchange) {
+  check_pause();
+  if (holds_requests()) {
+    hold(exchange);
+    return;
+  }
   metrics.increment(counter::requests);
   const time_point now = steady_clock::now();
   if (stop.phase(now, caller_server->active_requests()) >=
--- a/packages/tier/src/reader_selection.cpp
+++ b/packages/tier/src/reader_selection.cpp
@@ -59,6 +59,12 @@
   confirm_at(now);
 }
 
+void reader_selection::discard_confirmations() {
+  confirmed_at_.reset();
+  first_pending_.reset();
+  last_pending_.reset();
+}
+
 bool reader_selection::set_failing(time_point now, const std::string& reader,
                                    bool failing) {
   if (!failing) {
--- a/packages/tier/src/reader_selection.hpp
+++ b/packages/tier/src/reader_selection.hpp
@@ -67,6 +67,9 @@
   /// reported to others.
   bool set_failing(time_point now, const std::string& reader, bool failing);
 
+  /// Discards the confirmations of the copy, which may be outdated.
+  void discard_confirmations();
+
   /// Time since this daemon's copy was last known to be current, for reports to
   /// others.
   std::chrono::milliseconds copy_age(time_point now) const;
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -104,6 +104,10 @@
   return {
       .pick =
           [this](const std::string& service, const leafs::leaf_filter& filter) {
+            if (!context_.may_send()) {
+              return result<leafs::leaf_handle, leafs::unavailable_reason>(
+                  leafs::unavailable_reason::all_busy);
+            }
             return picker_.pick(steady_clock::now(), service, filter);
           },
       .take_retry_budget =
@@ -169,6 +173,7 @@
 
 void request_task::on_timer() {
   timer_ = {};
+  context_.check_pause();
   perform(execution_.on_timer(steady_clock::now()));
 }
 
--- a/packages/tier/src/request_task.hpp
+++ b/packages/tier/src/request_task.hpp
@@ -23,6 +23,10 @@
   waiting::wait_queue& queue;
   event_log& log;
   daemon_metrics& metrics;
+  /// Called when a timer of a request fires, before anything is decided.
+  std::function<void()> check_pause;
+  /// Whether the view is current, so that leafs may be picked.
+  std::function<bool()> may_send;
   leafs::attempt_id last_attempt_id = 0;
 };
 
--- a/packages/tier/tests/change_distribution_test.cpp
+++ b/packages/tier/tests/change_distribution_test.cpp
@@ -142,6 +142,36 @@
   }
 }
 
+// What waits in the sockets of a paused daemon states ages as of its sending,
+// and arrives seconds later. It must not pass for a confirmation of the copy.
+TEST(change_distribution, after_a_pause_only_new_answers_confirm_the_copy) {
+  const time_point start = time_point{} + std::chrono::hours(1);
+  const membership::member_record self{
+      .id = "d0", .data_centre = "z", .control = {"10.0.0.1", 1}};
+  change_distribution distribution(
+      {.group = {.self = self, .seeds = {{"10.0.0.1", 2}}},
+       .started_at = start},
+      {.changes_since = [](auto) { return replica::store_copy::delta{}; },
+       .copy_revision = [] { return replica::revision{7}; },
+       .apply = [](auto, const auto&, auto) {},
+       .on_malformed = [](auto, auto) {}});
+  distribution.on_store_read(start, 7, true);
+  const time_point woken = start + seconds(4);
+  const auto joins = distribution.reset_after_pause(woken).messages;
+  ASSERT_EQ(joins.size(), 1U);
+  EXPECT_EQ(joins[0].message.kind, membership::message_kind::join);
+  membership::message waited{.kind = membership::message_kind::notes,
+                             .from = "d1",
+                             .version = 7,
+                             .store_age = std::chrono::milliseconds(100)};
+  distribution.receive(woken, waited);
+  EXPECT_FALSE(distribution.readers().is_fresh(woken));
+  membership::message answer = waited;
+  answer.kind = membership::message_kind::join_response;
+  distribution.receive(woken, answer);
+  EXPECT_TRUE(distribution.readers().is_fresh(woken));
+}
+
 // Reading has a price, and the rate of all daemons together is limited.
 TEST(change_distribution, a_calm_fleet_makes_few_calls_to_the_store) {
   for (const std::size_t daemons : fleet_sizes) {
