leafs: let measured failure rates fade, so that leafs return after a cut

Cause: an ejected leaf keeps the failure rate that it had, and the rate changes only with attempts. As long as other replicas answer, its cost stays higher than theirs and it is never picked: in the process case cut_data_centre the leafs of the data centre that was cut off ran 19 of 3,446 leaf requests in the 3 s after the cut healed, after open connections went silent 163 of 2,395. Ruled out: connections that are never closed (with that planted the case fails in the same way, but without it too); the ejection itself (2 s at most). Change: the failure rate has a half-life of 2 s, as the slowness of a leaf has.

--- a/packages/leafs/include/medlarloft/leafs.hpp
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -130,6 +130,9 @@
     duration overdue_floor = std::chrono::milliseconds(15);
     /// Half-life of the measured slowness of a leaf.
     duration slowness_half_life = std::chrono::milliseconds(1500);
+    /// Half-life of the measured failure rate of a leaf. Without it a leaf that
+    /// failed is not picked again, so that nothing shows that it works.
+    duration failure_half_life = std::chrono::milliseconds(2000);
     /// A leaf that keeps failing is ejected for this time, doubled after each
     /// failed trial request up to `max_ejection`.
     duration initial_ejection = std::chrono::milliseconds(250);
@@ -216,6 +219,7 @@
     time_point last_outlier_at{};
     std::uint32_t consecutive_failures = 0;
     double failure_rate = 0;
+    time_point failure_rate_updated_at{};
     time_point ejected_until{};
     /// An ejected leaf gets one trial request at a time.
     bool trial_in_flight = false;
@@ -227,6 +231,7 @@
   duration work_time(const std::string& work_class) const;
   duration round_trip(const leaf_state& leaf) const;
   double slowness(time_point now, const leaf_state& leaf) const;
+  double failure_rate(time_point now, const leaf_state& leaf) const;
   duration expected_leaf_time(time_point now, const leaf_state& leaf,
                               const std::string& work_class) const;
   bool overdue(time_point now, const leaf_state& leaf) const;
--- a/packages/leafs/src/leaf_set.cpp
+++ b/packages/leafs/src/leaf_set.cpp
@@ -38,6 +38,12 @@
   return std::chrono::duration_cast<duration>(value * factor);
 }
 
+// Returns what is left of a measured value after `age`.
+double faded(double value, duration age, duration half_life) {
+  const double half_lives = std::chrono::duration<double>(age) / half_life;
+  return value * std::exp2(-std::max(half_lives, 0.0));
+}
+
 }  // namespace
 
 leaf_set::leaf_set(options settings, std::uint64_t seed)
@@ -133,11 +139,14 @@
 }
 
 double leaf_set::slowness(time_point now, const leaf_state& leaf) const {
-  const double age =
-      std::chrono::duration<double>(now - leaf.slowness_updated_at) /
-      options_.slowness_half_life;
-  const double fade = leaf.slowness > 1 ? std::exp2(-std::max(age, 0.0)) : 1.0;
-  return 1 + (leaf.slowness - 1) * fade;
+  if (leaf.slowness <= 1) return leaf.slowness;
+  return 1 + faded(leaf.slowness - 1, now - leaf.slowness_updated_at,
+                   options_.slowness_half_life);
+}
+
+double leaf_set::failure_rate(time_point now, const leaf_state& leaf) const {
+  return faded(leaf.failure_rate, now - leaf.failure_rate_updated_at,
+               options_.failure_half_life);
 }
 
 duration leaf_set::expected_leaf_time(time_point now, const leaf_state& leaf,
@@ -215,7 +224,7 @@
                       static_cast<double>(leaf.open_attempts.size()) /
                       std::max<std::uint32_t>(leaf.registration.slots, 1);
   duration total = scaled(base, slowness(now, leaf) * (1 + load));
-  total += scaled(base, failure_cost * leaf.failure_rate);
+  total += scaled(base, failure_cost * failure_rate(now, leaf));
   total += round_trip(leaf);
   if (overdue(now, leaf)) total += pause_cost + base;
   const double remote_factor =
@@ -294,8 +303,11 @@
   const bool counts_as_failure = outcome != attempt_outcome::answered &&
                                  outcome != attempt_outcome::abandoned;
   if (outcome != attempt_outcome::abandoned) {
-    leaf.failure_rate +=
-        failure_rate_weight * ((counts_as_failure ? 1 : 0) - leaf.failure_rate);
+    const double previous_rate = failure_rate(now, leaf);
+    leaf.failure_rate =
+        previous_rate +
+        failure_rate_weight * ((counts_as_failure ? 1 : 0) - previous_rate);
+    leaf.failure_rate_updated_at = now;
   }
   switch (outcome) {
     case attempt_outcome::answered:
--- a/packages/leafs/tests/leaf_set_test.cpp
+++ b/packages/leafs/tests/leaf_set_test.cpp
@@ -151,6 +151,32 @@
 
 // Healthy leafs may shed some of their requests. Leafs that don't are
 // preferred.
+// All leafs of a data centre are cut off and come back. Nothing but a request
+// shows that they are back, so each of them must get one soon; two replicas
+// elsewhere answer all the time and would otherwise look better for ever.
+TEST_F(leaf_set_test, a_data_centre_that_was_cut_off_is_used_again) {
+  const leaf_handle near_leaf = set.put(start, leaf("a"));
+  set.put(start, leaf("b", "far"));
+  set.put(start, leaf("c", "far"));
+  const auto serve_for = [this, near_leaf](time_point from, duration length,
+                                           bool cut) {
+    int served_near = 0;
+    for (time_point now = from; now < from + length; now += milliseconds(20)) {
+      const auto picked = set.pick(now, "s", "w");
+      if (!picked) continue;
+      const bool near = picked.value() == near_leaf;
+      if (near && !cut) ++served_near;
+      run(now, picked.value(), near ? milliseconds(6) : milliseconds(14),
+          near && cut ? attempt_outcome::silent : attempt_outcome::answered);
+    }
+    return served_near;
+  };
+  EXPECT_GT(serve_for(start, seconds(2), false), 50);
+  serve_for(start + seconds(2), seconds(4), true);
+  serve_for(start + seconds(6), seconds(4), false);
+  EXPECT_GT(serve_for(start + seconds(10), seconds(2), false), 50);
+}
+
 TEST_F(leaf_set_test, a_leaf_that_sheds_is_avoided) {
   const leaf_handle shedding = set.put(start, leaf("a"));
   const leaf_handle healthy = set.put(start, leaf("b"));
