http, tier: late copies, the backlog at a stop, parts of requests

Looked for: what operators of similar systems met. Found here: - A response without an id on a connection that carried a request before was taken for the answer to the next request: a late second copy of an unmarked answer would have reached another caller. It now ends the attempt as malformed; the outcome of that request is unknown. Leafs echo the id, so that nothing else changes. - A planned stop closed the listening socket with connections in its backlog, which resets them: 20 callers that had sent their requests got no answer. They are accepted first. A request of which only a part was read did not count, so that the process could end over it.

--- a/packages/http/include/medlarloft/http.hpp
+++ b/packages/http/include/medlarloft/http.hpp
@@ -104,13 +104,17 @@
 
   /// Closes each connection after its next response; still accepts new ones.
   void drain();
-  /// Closes the listening socket; open connections stay.
+  /// Accepts the connections that wait in the backlog, which closing the
+  /// listening socket would reset, then closes it; open connections stay.
   void stop_accepting();
   /// Closes the connections that have no request in progress.
   void close_idle_connections();
 
   std::size_t open_connections() const noexcept;
+  /// Requests that were read and have no response yet.
   std::size_t active_requests() const noexcept;
+  /// The same, and those of which only a part was read so far.
+  std::size_t unfinished_requests() const noexcept;
 
   /// State shared with the connections; defined in the source file.
   struct state;
@@ -164,6 +168,13 @@
 /// Outcome of a request on a client connection.
 using response_result = result<received_response, response_errc>;
 
+/// Whether a response belongs to the pending request.
+enum class response_match : std::uint8_t {
+  matches,
+  other,     // to an earlier request; the response to this one may follow
+  unmarked,  // nothing in it shows to which request it belongs
+};
+
 /// A client connection to a backend server or another daemon. It carries one
 /// request at a time.
 class connection : public std::enable_shared_from_this<connection> {
@@ -184,9 +195,11 @@
   /// Receives whether the connection is open, and how long connecting took.
   using open_handler = std::function<void(bool ok, duration took)>;
   using response_handler = std::function<void(response_result)>;
-  /// Whether a response belongs to the pending request. A response that does
-  /// not is skipped, and the connection is not reused.
-  using response_matcher = std::function<bool(const message& response)>;
+  /// Tells to which request a response belongs. One to another request is
+  /// skipped, and the connection is not reused. An unmarked one is accepted
+  /// only on a connection that carried no other request.
+  using response_matcher =
+      std::function<response_match(const message& response)>;
 
   static std::shared_ptr<connection> make(io_context& loop,
                                           loop::timer_queue& timers,
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -119,6 +119,8 @@
   bool skipped_response_ = false;
   /// Interim and skipped responses since the request was sent.
   int skipped_count_ = 0;
+  /// Requests sent on this connection.
+  std::uint64_t request_count_ = 0;
 };
 
 void tcp_connection::open(open_handler on_open) {
@@ -173,6 +175,7 @@
   matches_ = std::move(matches);
   on_response_ = std::move(on_response);
   skipped_count_ = 0;
+  ++request_count_;
   reset_parser();
   request_written_ = false;
   asio::async_write(socket_, asio::buffer(request_text_),
@@ -270,7 +273,13 @@
       .response = {.status = static_cast<int>(parser_->get().result_int()),
                    .headers = detail::to_headers(parser_->get()),
                    .body = std::move(parser_->get().body())}};
-  if (matches_ && !matches_(received.response)) {
+  const response_match match =
+      matches_ ? matches_(received.response) : response_match::matches;
+  if (match == response_match::unmarked && request_count_ > 1) {
+    fail(response_errc::malformed);
+    return;
+  }
+  if (match == response_match::other) {
     // A late response to an earlier request; the response to this one may
     // follow.
     skipped_response_ = true;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -48,6 +49,8 @@
         acceptor(event_loop) {}
 
   void accept();
+  /// Serves a new connection, or closes it beyond the limit.
+  void add_session(tcp::socket socket);
 
   io_context& loop;
   loop::timer_queue& timers;
@@ -387,15 +390,19 @@
           });
           return;
         }
-        if (me->sessions.size() < me->settings.max_connections) {
-          auto accepted = std::make_shared<session>(me, std::move(socket));
-          me->sessions.insert(accepted);
-          accepted->start();
-        }
+        me->add_session(std::move(socket));
         me->accept();
       });
 }
 
+void server::state::add_session(tcp::socket socket) {
+  if (sessions.size() >= settings.max_connections) return;
+  auto accepted =
+      std::make_shared<session>(shared_from_this(), std::move(socket));
+  sessions.insert(accepted);
+  accepted->start();
+}
+
 server::server(io_context& loop, loop::timer_queue& timers, options settings,
                request_handler handler)
     : state_(std::make_shared<state>(loop, timers, std::move(settings),
@@ -431,8 +438,16 @@
 }
 
 void server::stop_accepting() {
-  error_code ignored;
-  state_->acceptor.close(ignored);
+  tcp::acceptor& acceptor = state_->acceptor;
+  if (!acceptor.is_open()) return;
+  error_code failed;
+  acceptor.cancel(failed);
+  acceptor.non_blocking(true, failed);
+  while (!failed) {
+    tcp::socket waiting = acceptor.accept(failed);
+    if (!failed) state_->add_session(std::move(waiting));
+  }
+  acceptor.close(failed);
 }
 
 void server::close_idle_connections() {
@@ -449,4 +464,9 @@
   return state_->active_requests;
 }
 
+std::size_t server::unfinished_requests() const noexcept {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(state_->sessions, &session::busy));
+}
+
 }  // namespace medlarloft::http
--- a/packages/http/tests/harness.hpp
+++ b/packages/http/tests/harness.hpp
@@ -52,6 +52,8 @@
   bool close_after_response = false;
   /// Resets the connection after each response.
   bool reset_after_response = false;
+  /// Sent once, shortly after a response.
+  std::string late_text;
   /// Repeated after the first response until the caller closes the connection.
   std::string endless_text;
   /// Pause before each repetition of `endless_text`.
@@ -90,6 +92,7 @@
           const std::string text = responses.front();
           responses.pop_front();
           asio::write(from->socket, asio::buffer(text));
+          if (!late_text.empty()) write_late(from);
           if (!endless_text.empty()) {
             write_endlessly(from);
           } else if (reset_after_response) {
@@ -103,6 +106,13 @@
         });
   }
 
+  void write_late(const std::shared_ptr<client>& to) {
+    to->timer.expires_after(milliseconds(20));
+    to->timer.async_wait([this, to](const auto&) {
+      asio::write(to->socket, asio::buffer(std::exchange(late_text, {})));
+    });
+  }
+
   void write_endlessly(const std::shared_ptr<client>& to) {
     to->timer.expires_after(endless_pause);
     to->timer.async_wait([this, to](const auto&) {
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <deque>
+
 #include "harness.hpp"
 
 namespace medlarloft::http {
@@ -174,6 +177,36 @@
   EXPECT_TRUE(run_until(loop, [&caller] { return caller.disconnected; }));
 }
 
+// Under load, connections wait in the backlog when a planned stop closes the
+// listening socket. Their requests must be answered, not reset.
+TEST_F(server_test, answers_connections_that_wait_in_the_backlog_at_a_stop) {
+  std::deque<raw_caller> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.emplace_back(loop, endpoint{"127.0.0.1", port});
+    callers.back().send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  tested.drain();
+  tested.stop_accepting();
+  EXPECT_TRUE(run_until(loop, [&callers] {
+    return std::ranges::all_of(callers, &raw_caller::disconnected);
+  }));
+  for (const raw_caller& caller : callers)
+    EXPECT_NE(caller.received.find("200 OK"), std::string::npos);
+  EXPECT_EQ(requests.size(), 20U);
+}
+
+TEST_F(server_test, counts_a_request_of_which_a_part_was_read) {
+  raw_caller caller(loop, {"127.0.0.1", port});
+  caller.send("GET /1 HTTP/1.1\r\nHo");
+  EXPECT_TRUE(
+      run_until(loop, [this] { return tested.unfinished_requests() == 1; }));
+  EXPECT_EQ(tested.active_requests(), 0U);
+  caller.send("st: a\r\n\r\n");
+  EXPECT_TRUE(
+      run_until(loop, [this] { return tested.unfinished_requests() == 0; }));
+  EXPECT_EQ(requests.size(), 1U);
+}
+
 TEST_F(server_test, sends_100_continue_on_request) {
   raw_caller caller(loop, {"127.0.0.1", port});
   EXPECT_TRUE(send(caller,
--- a/packages/leafs/tests/leaf_set_test.cpp
+++ b/packages/leafs/tests/leaf_set_test.cpp
@@ -151,6 +151,19 @@
 
 // Healthy leafs may shed some of their requests. Leafs that don't are
 // preferred.
+// The record of a leaf that is only slow to report expires while it works on a
+// request. The request stays open and its response counts.
+TEST_F(leaf_set_test, a_request_in_flight_outlives_the_registration_of_a_leaf) {
+  const leaf_handle first = set.put(start, leaf("a"));
+  set.on_attempt_sent(start, first, ++attempt, "w");
+  set.remove("a");
+  EXPECT_FALSE(set.usable(first));
+  EXPECT_EQ(set.put(start + seconds(1), leaf("a")), first + 1);
+  set.on_attempt_ended(start + seconds(2), first, attempt,
+                       attempt_outcome::answered);
+  EXPECT_TRUE(set.pick(start + seconds(2), "s", "w"));
+}
+
 // All leafs of a data centre are cut off and come back. Nothing but a request
 // shows that they are back, so each of them must get one soon; two replicas
 // elsewhere answer all the time and would otherwise look better for ever.
--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -175,9 +175,10 @@
                                     duration remaining)>
       make_leaf_headers;
   std::function<response_metadata(const http::message&)> read_response_metadata;
-  /// Whether a leaf's response belongs to the request with this id.
-  std::function<bool(const http::message&, std::string_view request_id)>
-      is_response_to;
+  /// Tells whether a leaf's response belongs to the request with this id.
+  std::function<http::response_match(const http::message&,
+                                     std::string_view request_id)>
+      match_response;
   /// Returns the headers of the merged response of a gather.
   std::function<std::vector<header>(const std::string& request_id,
                                     const std::vector<fanout::leaf_response>&,
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -286,10 +286,11 @@
 
 void daemon::state::continue_stop() {
   const time_point now = steady_clock::now();
-  const stop_phase phase = stop.phase(now, caller_server->active_requests());
+  const stop_phase phase =
+      stop.phase(now, caller_server->unfinished_requests());
   if (phase == stop_phase::refusing) caller_server->stop_accepting();
   if (phase == stop_phase::ended) {
-    log.write("stopped", {{"running", caller_server->active_requests()}});
+    log.write("stopped", {{"running", caller_server->unfinished_requests()}});
     apply_group_outputs(distribution->leave(now, member_state::left));
     log.flush();
     timers.after(stop_poll_period, [this] { loop.stop(); });
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -208,7 +208,7 @@
       },
       exchange_->request().method,
       [self = shared_from_this()](const http::message& response) {
-        return self->context_.platform.is_response_to(
+        return self->context_.platform.match_response(
             response, self->metadata_.request_id);
       },
       [self = shared_from_this(),
--- a/packages/tier/tests/change_distribution_test.cpp
+++ b/packages/tier/tests/change_distribution_test.cpp
@@ -1,9 +1,12 @@
 #include "change_distribution.hpp"
 
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
 
+#include <map>
 #include <set>
 
+#include "change_codec.hpp"
 #include "simulated_fleet.hpp"
 
 namespace medlarloft::tier {
@@ -13,6 +16,7 @@
 using testing::simulated_fleet;
 
 constexpr std::array<std::size_t, 3> fleet_sizes{10, 60, 295};
+const time_point any_time = time_point{} + std::chrono::hours(1);
 /// Time in which the readers of a fleet are settled after its start.
 constexpr duration settling_time = seconds(12);
 
@@ -172,6 +176,68 @@
   EXPECT_TRUE(distribution.readers().is_fresh(woken));
 }
 
+// A daemon restarts and learns from peers whose copies have different ages, in
+// any order. A record that was removed, such as a leaf that left or a withdrawn
+// quota, must not come back: the copy is always the store's state at the copy's
+// own revision.
+TEST(change_distribution, a_removed_record_never_returns_after_a_restart) {
+  using records = std::map<std::string, std::string>;
+  const auto contents = [](const replica::store_copy& copy) {
+    records all;
+    for (const replica::change& each : copy.changes_since(0).changes)
+      if (each.value) all[each.key] = *each.value;
+    return all;
+  };
+  EXPECT_TRUE(rc::check(
+      [&contents](const std::vector<std::pair<std::uint8_t, bool>>& steps,
+                  std::uint64_t order) {
+        std::vector<records> states(1);
+        std::vector<replica::store_copy> peers{
+            replica::store_copy({.max_tombstones = 2})};
+        for (const auto& [key, has_value] : steps) {
+          const replica::revision number = states.size();
+          const std::string name(1, static_cast<char>('a' + key % 4));
+          const auto value =
+              has_value ? std::optional(std::to_string(number)) : std::nullopt;
+          peers.push_back(peers.back());
+          peers.back().apply(any_time, {{name, number, value}}, number);
+          states.push_back(contents(peers.back()));
+        }
+        replica::store_copy restarted({});
+        change_distribution distribution(
+            {.group = {.self = {.id = "d0", .data_centre = "z"}}},
+            {.changes_since =
+                 [&](auto from) { return restarted.changes_since(from); },
+             .copy_revision = [&] { return restarted.last_revision(); },
+             .apply =
+                 [&](auto now, const auto& delta, auto) {
+                   if (delta.listing) {
+                     restarted.apply_listing(now, delta.changes,
+                                             delta.last_revision);
+                   } else {
+                     restarted.apply(now, delta.changes, delta.last_revision);
+                   }
+                 },
+             .on_malformed = [](auto, auto) {}});
+        random_generator random(order);
+        for (std::size_t i = 0; i < 2 * peers.size(); ++i) {
+          // A peer's message may answer a request about any earlier revision.
+          const replica::store_copy& peer = peers[random.below(peers.size())];
+          const auto asked = random.below(peers.size());
+          const auto delta = peer.changes_since(asked);
+          const bool listing = delta.listing || asked == 0;
+          distribution.receive(
+              any_time, {.kind = membership::message_kind::notes,
+                         .from = "d1",
+                         .version = delta.last_revision,
+                         .notes = {{.version = delta.last_revision,
+                                    .base = listing ? 0 : asked,
+                                    .text = encode_changes(delta.changes)}}});
+          RC_ASSERT(contents(restarted) == states[restarted.last_revision()]);
+        }
+      }));
+}
+
 // Reading has a price, and the rate of all daemons together is limited.
 TEST(change_distribution, a_calm_fleet_makes_few_calls_to_the_store) {
   for (const std::size_t daemons : fleet_sizes) {
