soak: leafs send bytes without end

Each run with faults lets one leaf of seven replace its responses by bytes that are no response, until the daemon closes the connection. The draw has a generator of its own, so that kept seeds play the plans that they played. The link to a leaf does it, since the stand-in leaf answers through the server under test.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -22,8 +22,9 @@
 /// Number of events of ten that are planned work.
 constexpr std::uint64_t planned_events_of_ten = 4;
 
-/// Distinguishes the generator for faults between daemons.
+/// Distinguish the generators of faults that were added later.
 constexpr std::uint64_t peer_random_id = 2;
+constexpr std::uint64_t endless_random_id = 3;
 /// One fault between daemons is added per this many events.
 constexpr std::size_t events_per_peer_fault = 4;
 
@@ -39,13 +40,16 @@
       log_(std::move(log)),
       options_(options),
       random_(options.seed),
-      peer_random_(hash_combine(options.seed, peer_random_id)) {}
+      peer_random_(hash_combine(options.seed, peer_random_id)),
+      endless_random_(hash_combine(options.seed, endless_random_id)) {}
 
 void fault_plan::start() {
   started_at_ = steady_clock::now();
   for (std::size_t i = 0; i < options_.event_count; ++i)
     schedule_event();
-  if (options_.inject_faults) schedule_peer_faults();
+  if (!options_.inject_faults) return;
+  schedule_peer_faults();
+  schedule_endless_responses();
 }
 
 void fault_plan::schedule(duration when, std::function<void()> action) {
@@ -303,6 +307,28 @@
   }
 }
 
+// One leaf of seven sends bytes that are no response until daemons close.
+void fault_plan::schedule_endless_responses() {
+  const std::size_t count = deployment_.leafs().size();
+  const duration when =
+      options_.window_begin +
+      endless_random_.below(options_.window_end - options_.window_begin);
+  const duration span =
+      min_fault_duration +
+      endless_random_.below(max_fault_duration - min_fault_duration);
+  std::vector<std::size_t> chosen;
+  for (std::size_t i = 0; i < count / 7; ++i)
+    chosen.push_back(endless_random_.below(count));
+  const auto set_mode = [this, chosen](link_mode mode) {
+    for (const std::size_t index : chosen)
+      deployment_.leaf_link(index).set_mode(mode);
+  };
+  schedule_fault_span(
+      when, span, "leafs' responses without end",
+      [set_mode] { set_mode(link_mode::endless); },
+      [set_mode] { set_mode(link_mode::forwarding); });
+}
+
 void fault_plan::schedule_leaf_fault(duration when, duration span) {
   const std::size_t count = deployment_.leafs().size();
   const auto links = [this](link_mode value, std::vector<std::size_t> chosen) {
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -40,6 +40,7 @@
   void schedule_store_fault(duration when, duration span);
   void schedule_leaf_fault(duration when, duration span);
   void schedule_peer_faults();
+  void schedule_endless_responses();
   /// Runs `begin` at `when` and `end` after `span`; a fault counts as active
   /// meanwhile.
   void schedule_fault_span(duration when, duration span,
@@ -57,6 +58,7 @@
   random_generator random_;
   /// Separate, so that seeds that once failed still produce the same plans.
   random_generator peer_random_;
+  random_generator endless_random_;
   time_point started_at_;
   bool second_shards_ = false;
 };
--- a/tests/soak/link.cpp
+++ b/tests/soak/link.cpp
@@ -56,6 +56,21 @@
 
   void stop_forwarding() { stopped_forwarding_ = true; }
 
+  /// Sends bytes that are no response until the client closes.
+  void send_endlessly() {
+    static const std::string bytes(buffer_size, 'x');
+    asio::async_write(
+        client_socket_, asio::buffer(bytes),
+        [self = shared_from_this()](const error_code& error, std::size_t) {
+          if (self->closed_) return;
+          if (error || self->owner_.mode_ != link_mode::endless) {
+            self->reset();
+          } else {
+            self->send_endlessly();
+          }
+        });
+  }
+
  private:
   bool drops_data(bool to_target) const {
     if (stopped_forwarding_ || owner_.mode_ == link_mode::silent) return true;
@@ -93,6 +108,10 @@
       stopped_forwarding_ = true;
       return;
     }
+    if (owner_.mode_ == link_mode::endless && !to_target) {
+      send_endlessly();
+      return;
+    }
     asio::async_write(to, asio::buffer(*buffer),
                       [self = shared_from_this(), &from, &to, to_target,
                        buffer](const error_code& error, std::size_t) {
--- a/tests/soak/link.hpp
+++ b/tests/soak/link.hpp
@@ -19,6 +19,7 @@
   silent,       // drops data of both directions; new connections hang
   no_response,  // forwards requests, drops responses
   refusing,     // resets new connections
+  endless,      // replaces responses by bytes without end
 };
 
 /// A TCP proxy that forwards each connection to the target.
