http: serve a connection accepted just before the listening socket closes

Cause, found while reading the diff: an accept that had completed when a stop closed the listening socket was dropped by its handler, which resets the connection. Change: the handler serves it, unless the server is destroyed.

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -62,6 +62,8 @@
   /// Bytes of the requests that have no response yet, over all sessions.
   std::size_t buffered_bytes = 0;
   bool draining = false;
+  /// The handler must not be called any more.
+  bool destroyed = false;
 };
 
 namespace {
@@ -381,7 +383,8 @@
 void server::state::accept() {
   acceptor.async_accept(
       [me = shared_from_this()](const error_code& failed, tcp::socket socket) {
-        if (!me->acceptor.is_open()) return;
+        if (me->destroyed) return;
+        if (failed && !me->acceptor.is_open()) return;
         if (failed) {
           // The process may be out of file descriptors; retry once other
           // connections may have closed.
@@ -391,7 +394,8 @@
           return;
         }
         me->add_session(std::move(socket));
-        me->accept();
+        // The socket may have been accepted just before the acceptor closed.
+        if (me->acceptor.is_open()) me->accept();
       });
 }
 
@@ -409,7 +413,9 @@
                                      std::move(handler))) {}
 
 server::~server() {
-  stop_accepting();
+  state_->destroyed = true;
+  error_code ignored;
+  state_->acceptor.close(ignored);
   const auto sessions = state_->sessions;
   for (const auto& open_session : sessions)
     open_session->close();
--- a/packages/tier/tests/reader_selection_test.cpp
+++ b/packages/tier/tests/reader_selection_test.cpp
@@ -201,7 +201,7 @@
   selection.confirm_copy(start, 10);
   for (int i = 1; i <= 5; ++i) {
     const time_point now = start + seconds(i);
-    const auto revision = static_cast<replica::revision>(10 + i);
+    const replica::revision revision = 10U + static_cast<unsigned>(i);
     EXPECT_FALSE(selection.handle_report(
         now, {.revision = revision, .age = milliseconds(0)}));
   }
--- a/tests/soak/cases_main.cpp
+++ b/tests/soak/cases_main.cpp
@@ -102,7 +102,7 @@
     const auto all = std::ranges::count_if(
         executions_,
         [since](const auto& each) { return each.started_at >= since; });
-    const int there = executions_in(data_centre, since);
+    const std::ptrdiff_t there = executions_in(data_centre, since);
     // An equal part would be a third.
     expect(there * 10 >= all,
            "only " + std::to_string(there) + " of " + std::to_string(all) +
--- a/tests/soak/session.cpp
+++ b/tests/soak/session.cpp
@@ -46,7 +46,7 @@
 
 void session::start_callers(
     duration length, double rate_per_data_centre,
-    std::function<void(const standins::caller_attempt&)> on_attempt) {
+    const std::function<void(const standins::caller_attempt&)>& on_attempt) {
   for (std::size_t i = 0; i < data_centres; ++i) {
     add_callers(i, rate_per_data_centre, on_attempt);
     callers_.back()->start(length);
--- a/tests/soak/session.hpp
+++ b/tests/soak/session.hpp
@@ -25,7 +25,7 @@
   /// `on_attempt` is called for each attempt that ended.
   void start_callers(
       duration length, double rate_per_data_centre,
-      std::function<void(const standins::caller_attempt&)> on_attempt);
+      const std::function<void(const standins::caller_attempt&)>& on_attempt);
   /// Runs the event loop for this long.
   void run_for(duration length);
   /// Prints one line with the time.
