--- a/packages/settings/include/medlarloft/settings.hpp
+++ b/packages/settings/include/medlarloft/settings.hpp
@@ -69,7 +69,7 @@
   double hedge_quantile = 0.5;
   /// Fixed hedge delay; if zero, it is derived from observed latencies.
   duration hedge_after{};
-  /// Time limit of one request to a backend server.
+  /// Timeout of one request to a backend server.
   duration leaf_timeout = std::chrono::seconds(1);
 };
 
