--- a/packages/tier/tests/simulated_fleet.hpp
+++ b/packages/tier/tests/simulated_fleet.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <string>
 #include <vector>
@@ -34,6 +35,8 @@
     double loss = 0.0015;
     /// Registrations of leafs written to the store per second.
     int heartbeat_rate = 50;
+    /// Fraction of these writes that remove the registration instead.
+    double removals = 0;
   };
   /// Whether the store answers a daemon.
   using store_rule = std::function<bool(std::size_t daemon)>;
@@ -50,6 +53,7 @@
                           .control = {"10.0.0.1", port},
                           .incarnation = 1,
                           .state = membership::member_state::alive});
+      if (i < seed_count) seeds_.push_back(records_.back().control);
     }
     write_to_store("first", "1");
     write_to_store(configuration_key, "0");
@@ -64,6 +68,21 @@
   }
   void set_store_rule(store_rule rule) { store_rule_ = std::move(rule); }
   void set_link_rule(link_rule rule) { link_rule_ = std::move(rule); }
+  /// How long the store's answers take to arrive.
+  void set_store_delay(duration delay) { store_delay_ = delay; }
+  /// The store drops its history: whoever is behind must list all records.
+  void drop_history() { oldest_kept_revision_ = revision_; }
+  /// The daemon's process stands still; what is sent to it waits.
+  void pause(std::size_t daemon, duration length) {
+    daemons_[daemon]->paused_since = now_;
+    daemons_[daemon]->paused_until = now_ + length;
+  }
+  /// A new process takes the place of the daemon. It knows only the seeds.
+  void restart(std::size_t daemon) {
+    ++records_[daemon].incarnation;
+    daemons_[daemon] = make_daemon(daemon);
+    send(daemon, daemons_[daemon]->distribution->start(now_));
+  }
   bool reads(std::size_t daemon) const { return daemons_[daemon]->reading; }
   std::size_t reader_count() const {
     return static_cast<std::size_t>(std::ranges::count_if(
@@ -84,6 +103,18 @@
     write_to_store(configuration_key, std::to_string(++configuration_));
     return configuration_;
   }
+  time_point now() const noexcept { return now_; }
+  /// Whether the daemon's copy holds what the store held at its revision, as
+  /// far as the store still holds it.
+  bool holds_ghosts(std::size_t daemon) const {
+    const replica::store_copy& copy = daemons_[daemon]->copy;
+    const auto held = copy.changes_since(0).changes;
+    return std::ranges::any_of(held, [&](const replica::change& each) {
+      const auto stored = store_.find(each.key);
+      return each.value && stored != store_.end() && !stored->second.value &&
+             stored->second.changed_revision <= copy.last_revision();
+    });
+  }
   /// The daemons whose copy has an older configuration than `number`.
   std::vector<std::size_t> behind(int number) const {
     std::vector<std::size_t> late;
@@ -100,7 +131,9 @@
            next_heartbeat_ +=
            std::chrono::duration_cast<duration>(std::chrono::seconds(1)) /
            options_.heartbeat_rate) {
-        write_to_store("leaf" + std::to_string(random_.below(leafs)), "beat");
+        const std::string key = "leaf" + std::to_string(random_.below(leafs));
+        const bool removed = random_.uniform() < options_.removals;
+        write_to_store(key, removed ? std::nullopt : std::optional("beat"));
       }
       deliver_due();
       for (std::size_t i = 0; i < daemons_.size(); ++i)
@@ -116,9 +149,20 @@
   static constexpr std::size_t page_size = 500;
   static constexpr duration call_time = milliseconds(10);
   static constexpr duration retry_time = milliseconds(500);
+  /// A longer pause is noticed by the process; see pause_guard.
+  static constexpr duration noticed_pause = std::chrono::seconds(2);
+  static constexpr std::size_t seed_count = 3;
   static constexpr duration near_delay = milliseconds(1);
   static constexpr duration far_delay = milliseconds(5);
 
+  /// What the store answered to one call.
+  struct store_answer {
+    time_point arrives_at;
+    std::vector<replica::change> changes;
+    replica::revision revision = 0;
+    bool full = false;
+    bool listing = false;
+  };
   struct daemon {
     replica::store_copy copy{{}};
     std::unique_ptr<change_distribution> distribution;
@@ -126,8 +170,12 @@
     bool reading = false;
     bool failing = false;
     time_point next_call;
+    std::optional<store_answer> answer;
     time_point next_selection;
     std::uint64_t note_bytes = 0;
+    time_point paused_since;
+    time_point paused_until;
+    std::vector<membership::message> waiting;
   };
   struct in_flight {
     time_point deliver_at;
@@ -140,7 +188,8 @@
     }
   };
 
-  void write_to_store(const std::string& key, const std::string& value) {
+  void write_to_store(const std::string& key,
+                      const std::optional<std::string>& value) {
     store_[key] = {.key = key, .changed_revision = ++revision_, .value = value};
   }
 
@@ -150,6 +199,7 @@
     made->distribution = std::make_unique<change_distribution>(
         change_distribution::options{
             .group = {.self = records_[index],
+                      .seeds = seeds_,
                       .probe_period = milliseconds(500),
                       .probe_timeout = milliseconds(200),
                       .random_seed = hash_combine(options_.seed, index)},
@@ -214,13 +264,31 @@
     while (!queue_.empty() && queue_.top().deliver_at <= now_) {
       const in_flight next = queue_.top();
       queue_.pop();
-      send(next.to,
-           daemons_[next.to]->distribution->receive(now_, next.message));
+      daemon& to = *daemons_[next.to];
+      if (now_ < to.paused_until) {
+        to.waiting.push_back(next.message);
+      } else {
+        send(next.to, to.distribution->receive(now_, next.message));
+      }
     }
   }
 
+  void wake(std::size_t index) {
+    daemon& self = *daemons_[index];
+    if (self.paused_until - self.paused_since > noticed_pause) {
+      send(index, self.distribution->reset_after_pause(now_));
+      self.answer.reset();
+      self.next_call = now_;
+    }
+    self.paused_until = {};
+    for (const membership::message& each : std::exchange(self.waiting, {}))
+      send(index, self.distribution->receive(now_, each));
+  }
+
   void run_daemon(std::size_t index) {
     daemon& self = *daemons_[index];
+    if (now_ < self.paused_until) return;
+    if (self.paused_until != time_point{}) wake(index);
     if (self.distribution->next_tick() <= now_)
       send(index, self.distribution->tick(now_));
     if (self.next_selection <= now_) {
@@ -231,12 +299,17 @@
       const bool reads =
           self.distribution->should_read_store(now_, options_.data_centres);
       if (reads && !self.reading) self.next_call = now_ + call_time;
+      if (!reads) self.answer.reset();
       self.reading = reads;
     }
-    if (self.reading && self.next_call <= now_) read_store(index);
+    if (self.answer && self.answer->arrives_at <= now_) {
+      apply(index, *std::exchange(self.answer, std::nullopt));
+    } else if (self.reading && !self.answer && self.next_call <= now_) {
+      call_store(index);
+    }
   }
 
-  void read_store(std::size_t index) {
+  void call_store(std::size_t index) {
     daemon& self = *daemons_[index];
     ++store_calls_;
     self.failing = store_rule_ && !store_rule_(index);
@@ -244,21 +317,36 @@
       self.next_call = now_ + retry_time;
       return;
     }
-    std::vector<replica::change> changes;
-    for (const auto& [key, change] : store_)
-      if (change.changed_revision > self.copy.last_revision())
-        changes.push_back(change);
-    std::ranges::sort(changes, {}, &replica::change::changed_revision);
-    const bool full = changes.size() > page_size;
-    if (full) changes.resize(page_size);
-    const replica::revision read =
-        full ? changes.back().changed_revision : revision_;
+    const replica::revision known = self.copy.last_revision();
+    store_answer answer{.arrives_at = now_ + store_delay_,
+                        .revision = revision_,
+                        .listing = known > 0 && known < oldest_kept_revision_};
+    for (const auto& [key, change] : store_) {
+      const bool included = answer.listing ? change.value.has_value()
+                                           : change.changed_revision > known;
+      if (included) answer.changes.push_back(change);
+    }
+    std::ranges::sort(answer.changes, {}, &replica::change::changed_revision);
+    answer.full = !answer.listing && answer.changes.size() > page_size;
+    if (answer.full) {
+      answer.changes.resize(page_size);
+      answer.revision = answer.changes.back().changed_revision;
+    }
+    self.answer = std::move(answer);
+  }
+
+  void apply(std::size_t index, const store_answer& answer) {
+    daemon& self = *daemons_[index];
     self.next_call =
         now_ + call_time +
-        (full ? duration::zero() : pause_after_changes(options_.limits));
+        (answer.full ? duration::zero() : pause_after_changes(options_.limits));
     self.distribution->on_store_answer(now_);
-    update(self, self.copy.apply(now_, changes, read));
-    send(index, self.distribution->on_store_read(now_, read, !full));
+    update(self,
+           answer.listing
+               ? self.copy.apply_listing(now_, answer.changes, answer.revision)
+               : self.copy.apply(now_, answer.changes, answer.revision));
+    send(index,
+         self.distribution->on_store_read(now_, answer.revision, !answer.full));
   }
 
   options options_;
@@ -266,9 +354,12 @@
   time_point now_{std::chrono::hours(1)};
   time_point next_heartbeat_ = now_;
   std::vector<membership::member_record> records_;
+  std::vector<endpoint> seeds_;
   std::vector<std::unique_ptr<daemon>> daemons_;
   std::map<std::string, replica::change> store_;
   replica::revision revision_ = 0;
+  replica::revision oldest_kept_revision_ = 0;
+  duration store_delay_{};
   int configuration_ = 0;
   std::priority_queue<in_flight> queue_;
   std::uint64_t order_ = 0;
