replica: a copy that listed the store gives peers behind it a full listing

Callers saw nothing; a leaf that left, or a data centre that was put back, could stay as it was at some daemons for good. Cause: after the store dropped its history a daemon lists all records. Its copy then holds no trace of records that came and went between its old revision and the listing's. A peer with a revision in between was still sent changes, which lack these removals. Change: whoever is behind the listing's revision gets a full listing.

--- a/packages/replica/src/replica.cpp
+++ b/packages/replica/src/replica.cpp
@@ -31,9 +31,9 @@
     stored.changed_revision = as_of;
     remove(now, key, stored, updates);
   }
-  // This copy may lack changes from before the listing, so that a peer that is
-  // further behind needs a full listing.
-  pruned_up_to_ = std::max(pruned_up_to_, std::min(as_of, last_revision_));
+  // This copy does not know what was removed before the listing, so that every
+  // peer that is further behind needs a full listing.
+  pruned_up_to_ = std::max(pruned_up_to_, as_of);
   last_revision_ = std::max(last_revision_, as_of);
   return updates;
 }
