leafs: a leaf gets no more than the rate that it states

Cause: the header Server-Limit was not read. Class: a limit of a leaf that all daemons share without asking each other, as its connections and its cold rate. Change: the adapter decodes the header of every response of the leaf; each daemon takes its fraction of the rate, one turn in each period, from a random phase; unused turns lapse (request_pacer). Requests of which too few shards can be served are refused at once with the time of the next turn. Lines leaf_limited and leaf_limit_ended, gauge leafs_limited, reason all_limited.

--- a/packages/fanout/include/medlarloft/fanout.hpp
+++ b/packages/fanout/include/medlarloft/fanout.hpp
@@ -244,7 +244,8 @@
   };
 
   bool try_send(time_point now, std::size_t index, attempt_kind kind);
-  bool should_wait(const shard_state& shard, unavailable_reason reason) const;
+  bool should_wait(time_point now, std::size_t index,
+                   unavailable_reason reason) const;
   void begin_wait(time_point now, std::size_t index, attempt_kind kind);
   void end_wait(std::size_t index);
   duration expected_lateness(time_point now, std::size_t index) const;
--- a/packages/fanout/src/execution.cpp
+++ b/packages/fanout/src/execution.cpp
@@ -70,10 +70,13 @@
       continue;
     }
     shards_[i].no_leaf_reason = leaf.error();
-    if (should_wait(shards_[i], leaf.error())) {
-      const duration lateness = expected_lateness(now, i);
+    const bool limited = leaf.error() == unavailable_reason::all_limited;
+    const duration lateness = leafs::is_temporary(leaf.error())
+                                  ? expected_lateness(now, i)
+                                  : duration::zero();
+    max_lateness = std::max(max_lateness, lateness);
+    if (should_wait(now, i, leaf.error())) {
       if (lateness > duration::zero()) ++late_shards;
-      max_lateness = std::max(max_lateness, lateness);
       begin_wait(now, i, attempt_kind::first);
     } else {
       give_up(i);
@@ -83,7 +86,8 @@
     const auto failed_shards = static_cast<std::size_t>(
         std::ranges::count_if(shards_, &shard_state::given_up));
     if (!coverage_suffices(shards_.size() - failed_shards)) {
-      refuse(leafs::name_of(leaf.error()), retry_after_ejected);
+      refuse(leafs::name_of(leaf.error()),
+             limited ? max_lateness : retry_after_ejected);
       return take_actions(now);
     }
     if (!coverage_suffices(shards_.size() - failed_shards - late_shards)) {
@@ -101,11 +105,13 @@
   if (!hooks_.estimate_wait) return duration::zero();
   const waiting::wait_estimate expected =
       hooks_.estimate_wait(plan_.services[index]);
-  const time_point response_at = now +
-                                 scaled(expected.wait, slowest_shard_factor) +
-                                 expected.response_time;
+  const duration wait = std::max(expected.wait, expected.min_wait);
+  const time_point response_at =
+      now +
+      std::max(scaled(expected.wait, slowest_shard_factor), expected.min_wait) +
+      expected.response_time;
   const duration lateness = response_at - plan_.soft_deadline;
-  const duration excess_wait = expected.wait - plan_.max_wait;
+  const duration excess_wait = wait - plan_.max_wait;
   return std::max({lateness, excess_wait, duration::zero()});
 }
 
@@ -140,9 +146,14 @@
   }
 }
 
-bool execution::should_wait(const shard_state& shard,
+// Limited leafs take their next request at a known time, so that waiting for
+// one that comes too late is no use.
+bool execution::should_wait(time_point now, std::size_t index,
                             unavailable_reason reason) const {
-  return reason == unavailable_reason::all_busy && shard.open_attempts.empty();
+  if (!leafs::is_temporary(reason) || !shards_[index].open_attempts.empty())
+    return false;
+  return reason != unavailable_reason::all_limited ||
+         expected_lateness(now, index) <= duration::zero();
 }
 
 void execution::send(time_point now, std::size_t index, leaf_handle leaf,
@@ -192,7 +203,7 @@
   const auto leaf = hooks_.pick(plan_.services[index], filter);
   if (!leaf) {
     shard.no_leaf_reason = leaf.error();
-    if (should_wait(shard, leaf.error()) && !shard.waiting_since) {
+    if (should_wait(now, index, leaf.error()) && !shard.waiting_since) {
       begin_wait(now, index, kind);
     }
     return false;
@@ -293,7 +304,8 @@
     shard_state& shard = shards_[i];
     if (!shard.waiting_since) continue;
     if (try_send(now, i, shard.waiting_kind)) continue;
-    const bool busy = shard.no_leaf_reason == unavailable_reason::all_busy;
+    const bool busy =
+        shard.no_leaf_reason && leafs::is_temporary(*shard.no_leaf_reason);
     const bool too_long = now - *shard.waiting_since >= plan_.max_wait;
     if (busy && !too_long) continue;
     end_wait(i);
@@ -385,7 +397,8 @@
       continue;
     }
     ++result.missing_count;
-    busy = busy || shard.no_leaf_reason == unavailable_reason::all_busy;
+    busy = busy ||
+           (shard.no_leaf_reason && leafs::is_temporary(*shard.no_leaf_reason));
     result.missing.push_back(std::move(missing));
   }
   const bool single = !plan_.route->gathers();
--- a/packages/leafs/include/medlarloft/leafs.hpp
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -58,6 +58,15 @@
 };
 std::string_view name_of(attempt_outcome outcome) noexcept;
 
+/// What a leaf says of itself in a response.
+struct leaf_report {
+  /// Requests per second that the leaf takes from all daemons together;
+  /// nothing: it states no limit.
+  std::optional<double> rate_limit;
+  /// The response states a limit that is no number. It changes nothing.
+  bool malformed = false;
+};
+
 /// Limits of a service that apply to all daemons together.
 struct service_limits {
   /// Connections that each leaf accepts.
@@ -70,6 +79,8 @@
 struct daemon_quota {
   /// Fraction of each leaf's connections.
   double fraction = 1;
+  /// Fraction of a rate that a leaf states for all daemons together.
+  double rate_fraction = 1;
   std::size_t daemons = 1;
   /// Returns the position of this daemon in an order of all daemons that is
   /// specific to the leaf; only the first `cold_burst` daemons may use the leaf
@@ -83,10 +94,16 @@
   none_registered,  // no registered leaf accepts new requests
   all_tried,        // the remaining leafs are excluded by the filter
   all_dark,         // ejected after failures; no trial due, or one in flight
+  all_limited,      // the leafs state limits; this daemon's part is used up
   all_busy,         // the in-flight or cold-start limit is reached
 };
 std::string_view name_of(unavailable_reason reason) noexcept;
 
+/// Whether a leaf becomes available without any event that changes its state.
+constexpr bool is_temporary(unavailable_reason reason) noexcept {
+  return reason >= unavailable_reason::all_limited;
+}
+
 /// Restricts the choice of a leaf for one request.
 struct leaf_filter {
   std::span<const leaf_handle> excluded;
@@ -108,12 +125,15 @@
   leaf_registration registration;
   bool usable = false;
   bool ejected = false;
+  /// The limit that the leaf states, in requests per second.
+  std::optional<double> rate_limit;
   std::size_t in_flight = 0;
   /// Recent response time in relation to the usual one of the work class.
   double slowness = 1;
 };
 
 class in_flight_limit;
+class request_pacer;
 
 /// The leafs of all services and the requests in flight to them.
 class leaf_set {
@@ -148,6 +168,9 @@
     std::size_t min_in_flight = 3;
     /// Requests that all daemons together may send to a cold leaf at once.
     std::uint32_t cold_burst = 5;
+    /// A lower limit of a leaf counts as this many requests per second of all
+    /// daemons together: only responses tell when the limit rises.
+    double min_rate_limit = 0.5;
   };
 
   leaf_set(options settings, std::uint64_t seed);
@@ -177,6 +200,11 @@
   void on_attempt_ended(time_point now, leaf_handle leaf, attempt_id attempt,
                         attempt_outcome outcome);
 
+  /// Takes over what a leaf said in its response to a request sent at
+  /// `sent_at`. Returns whether its limit changed.
+  bool on_report(time_point now, leaf_handle leaf, time_point sent_at,
+                 const leaf_report& report);
+
   /// Returns how long a request to the leaf usually takes, round trip included.
   duration expected_time(time_point now, leaf_handle leaf,
                          const std::string& work_class) const;
@@ -190,6 +218,10 @@
       time_point now, const std::string& service,
       const std::string& work_class) const;
 
+  /// Returns the earliest time at which a leaf of the service may get a
+  /// request, as far as limits that leafs state decide on it.
+  time_point earliest_turn(time_point now, const std::string& service) const;
+
   void add_round_trip_sample(const std::string& data_centre, duration value);
 
   const leaf_registration* find(leaf_handle leaf) const;
@@ -209,6 +241,11 @@
     duration expected_time;
     std::string work_class;
   };
+  struct stated_limit {
+    double rate = 0;
+    time_point stated_at;
+    std::shared_ptr<request_pacer> pacer;
+  };
   struct leaf_state {
     leaf_registration registration;
     bool registered = true;
@@ -226,6 +263,7 @@
     time_point cold_until{};
     token_bucket cold_tokens{{}};
     std::shared_ptr<in_flight_limit> limit;
+    std::optional<stated_limit> rate_limit;
   };
 
   duration work_time(const std::string& work_class) const;
@@ -247,6 +285,8 @@
                         const open_attempt& attempt);
   void record_failure(time_point now, leaf_state& leaf, bool eject_now);
   void reset_cold_tokens(time_point now, leaf_state& leaf);
+  /// Mean time between two requests of this daemon to a leaf with this limit.
+  duration limited_period(double rate) const;
 
   options options_;
   random_generator random_;
--- a/packages/leafs/src/leaf_set.cpp
+++ b/packages/leafs/src/leaf_set.cpp
@@ -4,6 +4,7 @@
 
 #include "in_flight_limit.hpp"
 #include "medlarloft/leafs.hpp"
+#include "request_pacer.hpp"
 
 namespace medlarloft::leafs {
 namespace {
@@ -97,6 +98,56 @@
   quota_ = std::move(quota);
 }
 
+duration leaf_set::limited_period(double rate) const {
+  constexpr double max_period = 3600;
+  const double own_rate =
+      std::max(rate, options_.min_rate_limit) * quota_.rate_fraction;
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(std::min(1 / own_rate, max_period)));
+}
+
+// A response that was overtaken by a later one may state a limit that no longer
+// holds. A lower limit holds at once; a higher one, or none, only if the
+// request was sent after the last statement had arrived.
+bool leaf_set::on_report(time_point now, leaf_handle handle, time_point sent_at,
+                         const leaf_report& report) {
+  if (report.malformed) return false;
+  std::optional<stated_limit>& limit = leafs_[handle].rate_limit;
+  if (!limit && !report.rate_limit) return false;
+  if (!limit) {
+    limit = stated_limit{
+        .rate = *report.rate_limit,
+        .stated_at = now,
+        .pacer = std::make_shared<request_pacer>(
+            now, limited_period(*report.rate_limit), random_.uniform())};
+    return true;
+  }
+  const bool lower = report.rate_limit && *report.rate_limit <= limit->rate;
+  if (!lower && sent_at < limit->stated_at) return false;
+  if (!report.rate_limit) {
+    limit.reset();
+    return true;
+  }
+  limit->stated_at = now;
+  const double previous = std::exchange(limit->rate, *report.rate_limit);
+  // The daemon's part may have changed as well.
+  limit->pacer->set_period(now, limited_period(limit->rate));
+  return limit->rate != previous;
+}
+
+time_point leaf_set::earliest_turn(time_point now,
+                                   const std::string& service) const {
+  time_point earliest = time_point::max();
+  for (const leaf_handle handle : leafs_of(service)) {
+    const leaf_state& leaf = leafs_[handle];
+    if (!accepts_requests(leaf)) continue;
+    earliest = std::min(earliest, leaf.rate_limit
+                                      ? leaf.rate_limit->pacer->next_turn(now)
+                                      : now);
+  }
+  return earliest == time_point::max() ? now : earliest;
+}
+
 // The daemons that may use a cold leaf share its rate equally. Each bucket
 // holds one token at most, so that together they send at most `cold_burst`
 // requests at once.
@@ -214,6 +265,8 @@
     token_bucket tokens = leaf.cold_tokens;
     if (!tokens.try_consume(now)) return unavailable_reason::all_busy;
   }
+  if (leaf.rate_limit && !leaf.rate_limit->pacer->admits(now))
+    return unavailable_reason::all_limited;
   return std::nullopt;
 }
 
@@ -288,6 +341,7 @@
   if (leaf.consecutive_failures >= failures_to_eject)
     leaf.trial_in_flight = true;
   if (now < leaf.cold_until) leaf.cold_tokens.try_consume(now);
+  if (leaf.rate_limit) leaf.rate_limit->pacer->consume(now);
 }
 
 void leaf_set::on_attempt_ended(time_point now, leaf_handle handle,
@@ -394,12 +448,15 @@
     const leaf_state& leaf = leafs_[handle];
     const bool ejected = leaf.consecutive_failures >= failures_to_eject;
     if (!accepts_requests(leaf) || ejected || now < leaf.cold_until) continue;
-    const double leaf_in_flight =
-        leaf.limit->average_in_flight(max_in_flight(leaf));
-    total_in_flight += leaf_in_flight;
-    completions_per_second +=
-        leaf_in_flight /
+    const double response_time =
         seconds(expected_leaf_time(now, leaf, work_class)).count();
+    double leaf_in_flight = leaf.limit->average_in_flight(max_in_flight(leaf));
+    if (leaf.rate_limit) {
+      const seconds period = leaf.rate_limit->pacer->period();
+      leaf_in_flight = std::min(leaf_in_flight, response_time / period.count());
+    }
+    total_in_flight += leaf_in_flight;
+    completions_per_second += leaf_in_flight / response_time;
   }
   if (completions_per_second <= 0) return std::nullopt;
   return service_throughput{
@@ -430,6 +487,9 @@
     all.push_back({.registration = leaf.registration,
                    .usable = accepts_requests(leaf),
                    .ejected = leaf.consecutive_failures >= failures_to_eject,
+                   .rate_limit = leaf.rate_limit
+                                     ? std::optional(leaf.rate_limit->rate)
+                                     : std::nullopt,
                    .in_flight = leaf.open_attempts.size(),
                    .slowness = slowness(now, leaf)});
   }
@@ -447,8 +507,8 @@
 }
 
 std::string_view name_of(unavailable_reason reason) noexcept {
-  constexpr std::array<std::string_view, 4> names{
-      "none_registered", "all_tried", "all_dark", "all_busy"};
+  constexpr std::array<std::string_view, 5> names{
+      "none_registered", "all_tried", "all_dark", "all_limited", "all_busy"};
   return names[static_cast<std::size_t>(reason)];
 }
 
--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -140,6 +140,7 @@
   bool not_run = false;
   /// The request was meant for another leaf that had this address.
   bool misdirected = false;
+  leafs::leaf_report report;
 };
 
 /// A caller's request for the addresses of daemons.
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -130,11 +130,15 @@
       std::ranges::count_if(statuses, &leafs::leaf_status::usable);
   const auto ejected = std::ranges::count_if(
       statuses, [](const auto& leaf) { return leaf.usable && leaf.ejected; });
+  const auto limited = std::ranges::count_if(statuses, [](const auto& leaf) {
+    return leaf.usable && leaf.rate_limit;
+  });
   const auto open = std::accumulate(
       statuses.begin(), statuses.end(), std::size_t{0},
       [](std::size_t sum, const auto& leaf) { return sum + leaf.in_flight; });
   metrics.set(gauge::leafs_usable, to_double(usable));
   metrics.set(gauge::leafs_ejected, to_double(ejected));
+  metrics.set(gauge::leafs_limited, to_double(limited));
   metrics.set(gauge::leaf_requests_open, to_double(open));
   metrics.set(gauge::requests_running,
               to_double(caller_server->active_requests()));
@@ -155,6 +159,7 @@
   quota.remove_expired(now);
   loads.retain([this](const std::string& id) { return quota.contains(id); });
   leafs.set_quota({.fraction = quota.connection_fraction(now),
+                   .rate_fraction = quota.rate_fraction(),
                    .daemons = quota.daemon_count(),
                    .daemon_index = [this](std::string_view leaf) {
                      return quota.daemon_index(leaf);
--- a/packages/tier/src/daemon_metrics.cpp
+++ b/packages/tier/src/daemon_metrics.cpp
@@ -15,15 +15,16 @@
                   "hedges",           "retries",
                   "budget_empty",     "connections_opened",
                   "store_calls",      "peer_bytes",
-                  "address_answers"};
+                  "address_answers",  "reports_ignored"};
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(gauge::gauge_count)>
     gauge_names{"configuration_version", "store_revision",
                 "store_age_seconds",     "members",
                 "leafs_usable",          "leafs_ejected",
-                "leaf_requests_open",    "requests_running",
-                "requests_waiting",      "loop_lag_seconds"};
+                "leafs_limited",         "leaf_requests_open",
+                "requests_running",      "requests_waiting",
+                "loop_lag_seconds"};
 
 }  // namespace
 
--- a/packages/tier/src/daemon_metrics.hpp
+++ b/packages/tier/src/daemon_metrics.hpp
@@ -30,7 +30,8 @@
   store_calls,
   peer_bytes,
   address_answers,
-  counter_count  // the number of counters
+  reports_ignored,  // headers of leafs with a malformed value
+  counter_count     // the number of counters
 };
 
 std::string_view name_of(counter which) noexcept;
@@ -43,6 +44,7 @@
   members,             // daemons that shared limits are divided among
   leafs_usable,        // may be sent requests
   leafs_ejected,       // of these, get trial requests only
+  leafs_limited,       // of these, state a limit of requests per second
   leaf_requests_open,  // sent and not ended
   requests_running,
   requests_waiting,  // entries in the wait queues for a free leaf
--- a/packages/tier/src/quota_calculator.cpp
+++ b/packages/tier/src/quota_calculator.cpp
@@ -14,9 +14,14 @@
   std::erase_if(daemons_, [this, now](const auto& entry) {
     return now - entry.second.last_reachable > options_.removal_delay;
   });
+  const double total = total_capacity();
+  const bool peak_expired = now - peak_at_ > options_.peak_retention;
+  if (total < peak_capacity_ && !peak_expired) return;
+  peak_capacity_ = total;
+  peak_at_ = now;
 }
 
-double quota_calculator::fraction() const {
+double quota_calculator::total_capacity() const {
   const double own_capacity = std::max(options_.capacity, 1U);
   // A daemon that reports no capacity is counted with the capacity of this one.
   const double total = std::accumulate(
@@ -26,7 +31,16 @@
         return sum +
                (reported == 0 ? own_capacity : static_cast<double>(reported));
       });
-  return own_capacity / std::max(total, own_capacity * options_.min_fleet_size);
+  return std::max(total, own_capacity * options_.min_fleet_size);
+}
+
+double quota_calculator::fraction() const {
+  return std::max(options_.capacity, 1U) / total_capacity();
+}
+
+double quota_calculator::rate_fraction() const {
+  return std::max(options_.capacity, 1U) /
+         std::max(peak_capacity_, total_capacity());
 }
 
 double quota_calculator::connection_fraction(time_point now) const {
--- a/packages/tier/src/quota_calculator.hpp
+++ b/packages/tier/src/quota_calculator.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 /// Computes this daemon's quota: its fraction of the limits that all daemons
-/// share, which are the connections of leafs and the retry budget. Fractions
-/// are proportional to the capacity of the hosts, since callers are directed to
-/// the large ones. No I/O; time is an argument.
+/// share, which are the connections of leafs, the rates that they state and the
+/// retry budget. Fractions are proportional to the capacity of the hosts, since
+/// callers are directed to the large ones. No I/O; time is an argument.
 
 #include <map>
 #include <string>
@@ -29,6 +29,9 @@
     /// this time after its start a daemon leaves room for them.
     duration startup_period = std::chrono::seconds(4);
     double startup_fraction = 0.5;
+    /// A rate is divided by the largest fleet within this time: daemons that
+    /// are cut off from this one may still reach the leafs.
+    duration peak_retention = std::chrono::seconds(60);
   };
 
   explicit quota_calculator(options settings) : options_(std::move(settings)) {}
@@ -46,6 +49,8 @@
   /// The fraction of leafs' connections: `fraction()`, reduced after a start
   /// by what an earlier process of this host may have left open.
   double connection_fraction(time_point now) const;
+  /// Fraction of a rate that a leaf states for all daemons together.
+  double rate_fraction() const;
   std::size_t daemon_count() const noexcept { return daemons_.size(); }
   bool contains(const std::string& id) const { return daemons_.contains(id); }
   /// Index of this daemon in an order of all daemons that differs by leaf.
@@ -57,8 +62,13 @@
     time_point last_reachable;
   };
 
+  double total_capacity() const;
+
   options options_;
   std::map<std::string, daemon> daemons_;
+  /// The largest recent `total_capacity()`, and when it last had that value.
+  double peak_capacity_ = 0;
+  time_point peak_at_{};
 };
 
 }  // namespace medlarloft::tier
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -237,6 +237,21 @@
       });
 }
 
+// Error responses and those that come too late are statements of the leaf, too.
+void request_task::apply_report(time_point now, const open_attempt& open,
+                                const leafs::leaf_report& report) {
+  if (report.malformed) context_.metrics.increment(counter::reports_ignored);
+  if (!context_.leafs.on_report(now, open.leaf, open.sent_at, report)) return;
+  const leafs::leaf_registration& leaf = *context_.leafs.find(open.leaf);
+  context_.log.write(report.rate_limit ? "leaf_limited" : "leaf_limit_ended",
+                     {{"leaf", leaf.id},
+                      {"service", leaf.service},
+                      {"limit", report.rate_limit.value_or(0)},
+                      {"source", "response"},
+                      {"request", metadata_.request_id},
+                      {"sent_before", to_whole_us(now - open.sent_at)}});
+}
+
 void request_task::on_attempt_ended(leafs::attempt_id attempt,
                                     pool_result result) {
   const auto entry = open_attempts_.extract(attempt);
@@ -256,6 +271,7 @@
     http::message& message = result.response.value().response;
     const response_metadata metadata =
         context_.platform.read_response_metadata(message);
+    if (!metadata.misdirected) apply_report(now, open, metadata.report);
     if (metadata.misdirected) {
       outcome = leafs::attempt_outcome::misdirected;
     } else if (metadata.not_run) {
--- a/packages/tier/src/request_task.hpp
+++ b/packages/tier/src/request_task.hpp
@@ -72,6 +72,8 @@
   void send(const fanout::send_action& action);
   void abandon(const fanout::abandon_action& action);
   void on_attempt_ended(leafs::attempt_id attempt, pool_result result);
+  void apply_report(time_point now, const open_attempt& open,
+                    const leafs::leaf_report& report);
   void on_timer();
   void finish(const fanout::request_result& result);
   http::message make_response(const fanout::request_result& result) const;
--- a/packages/waiting/include/medlarloft/waiting.hpp
+++ b/packages/waiting/include/medlarloft/waiting.hpp
@@ -77,7 +77,10 @@
 /// Estimated time until a request gets a free leaf, and from then to its
 /// response.
 struct wait_estimate {
+  /// Mean wait.
   duration wait{};
+  /// Until then no leaf takes a request, whoever is first in the queue.
+  duration min_wait{};
   duration response_time{};
 };
 
@@ -102,7 +105,7 @@
   result<leafs::leaf_handle, leafs::unavailable_reason> pick(
       time_point now, const std::string& service,
       const leafs::leaf_filter& filter);
-  /// Estimates the wait from now on; zero if no estimate is possible.
+  /// Estimates the wait from now on; the mean is zero if none is known.
   wait_estimate estimate_wait(time_point now, const std::string& service) const;
 
   void join_queue(const std::string& service, std::function<void()> wake);
--- a/packages/waiting/src/leaf_picker.cpp
+++ b/packages/waiting/src/leaf_picker.cpp
@@ -17,19 +17,24 @@
     const auto own_entry = entries_.find(service);
     const bool is_next =
         own_entry != entries_.end() && next == own_entry->second;
-    if (next && !is_next) return leafs::unavailable_reason::all_busy;
+    if (next && !is_next) {
+      return leafs_.service_unavailable_reason(now, service)
+          .value_or(leafs::unavailable_reason::all_busy);
+    }
   }
   return leafs_.pick(now, service, options_.work_class, filter);
 }
 
 wait_estimate leaf_picker::estimate_wait(time_point now,
                                          const std::string& service) const {
+  wait_estimate estimate{.min_wait = leafs_.earliest_turn(now, service) - now};
   const auto throughput = leafs_.throughput(now, service, options_.work_class);
-  if (!throughput) return {};
+  if (!throughput) return estimate;
   const auto ahead = queue_.count_ahead(now, service, options_.priority,
                                         options_.soft_deadline);
-  return {.wait = throughput->completion_interval * static_cast<int>(ahead + 1),
-          .response_time = throughput->response_time};
+  estimate.wait = throughput->completion_interval * static_cast<int>(ahead + 1);
+  estimate.response_time = throughput->response_time;
+  return estimate;
 }
 
 void leaf_picker::join_queue(const std::string& service,
