tier: a stopping daemon takes no request that it may cut and nobody may repeat

Callers saw 504 for a request that may run only once and had run, late in a planned stop. Cause: a stopping daemon takes requests for 4.3 s of 6 s, as callers keep its address, whatever time they may take. At 5.4 s it answers what is open. Change: a request that may run only once, and whose deadline is later than the daemon's last answer, is refused at once with 503 and a short Retry-After; another daemon serves it. Others are taken as before: they can be repeated.

--- a/packages/fanout/tests/execution_test.cpp
+++ b/packages/fanout/tests/execution_test.cpp
@@ -373,5 +373,43 @@
   }));
 }
 
+// All leafs of a shard are at limits that they state, and their next turn comes
+// after the soft deadline. The request must not wait for it in vain.
+TEST(execution, refuses_at_once_when_no_turn_of_a_limited_leaf_is_in_time) {
+  scenario setup(1);
+  setup.unavailable[0] = unavailable_reason::all_limited;
+  setup.estimate.min_wait = milliseconds(700);
+  execution run = setup.make_execution();
+  const actions end = run.start(start);
+  ASSERT_TRUE(end.result);
+  EXPECT_EQ(end.result->outcome, request_outcome::not_run);
+  // Back then, the caller gets its response just before its soft deadline.
+  EXPECT_GE(end.result->retry_after, milliseconds(700) - setup.soft_deadline);
+}
+
+TEST(execution, waits_for_a_turn_of_a_limited_leaf_that_is_in_time) {
+  scenario setup(1);
+  setup.unavailable[0] = unavailable_reason::all_limited;
+  setup.estimate.min_wait = milliseconds(20);
+  execution run = setup.make_execution();
+  EXPECT_FALSE(run.start(start).result);
+  setup.unavailable.clear();
+  EXPECT_EQ(run.on_timer(start + milliseconds(20)).sends.size(), 1U);
+}
+
+TEST(execution, answers_without_a_limited_shard_if_coverage_suffices) {
+  scenario setup(10, 0.89);
+  setup.unavailable[4] = unavailable_reason::all_limited;
+  setup.estimate.min_wait = milliseconds(700);
+  execution run = setup.make_execution();
+  EXPECT_EQ(run.start(start).sends.size(), 9U);
+  actions last;
+  for (attempt_id id = 1; id <= 9; ++id)
+    last = run.on_response(start + milliseconds(12), id,
+                           make_response("p" + std::to_string(id)));
+  ASSERT_TRUE(last.result);
+  EXPECT_EQ(last.result->missing_count, 1U);
+}
+
 }  // namespace
 }  // namespace medlarloft::fanout
--- a/packages/tier/src/daemon_state.hpp
+++ b/packages/tier/src/daemon_state.hpp
@@ -53,6 +53,12 @@
   /// Whether the view may be outdated, since the process was paused.
   bool holds_requests();
   void hold(const std::shared_ptr<http::exchange>& exchange);
+  void refuse_while_stopping(http::exchange& exchange);
+  /// Whether the daemon may end before the request does, which must not be
+  /// repeated then.
+  bool may_outlast_stop(const http::exchange& exchange,
+                        const request_metadata& metadata,
+                        const routes::route& route) const;
   /// Sets the counters and gauges whose values other parts hold.
   void update_metrics(time_point now);
   void update_quotas(time_point now);
--- a/packages/tier/src/daemon_traffic.cpp
+++ b/packages/tier/src/daemon_traffic.cpp
@@ -105,6 +105,25 @@
   });
 }
 
+void daemon::state::refuse_while_stopping(http::exchange& exchange) {
+  metrics.increment(counter::refused_not_run);
+  exchange.respond(
+      {.status = status_unavailable,
+       .headers = {{"Retry-After", format_seconds(stopping_retry)}}});
+}
+
+// A request that is cut at the end of the stop may have run. If it must not run
+// twice, its caller can't repeat it, whereas another daemon can serve it now.
+bool daemon::state::may_outlast_stop(const http::exchange& exchange,
+                                     const request_metadata& metadata,
+                                     const routes::route& route) const {
+  const bool repeatable = route.retry == routes::retry_policy::idempotent;
+  if (!stop.begun() || repeatable) return false;
+  const time_point deadline =
+      request_deadline(exchange.received_at(), metadata, route);
+  return deadline > stop.answer_deadline();
+}
+
 void daemon::state::serve(std::shared_ptr<http::exchange> exchange) {
   check_pause();
   if (holds_requests()) {
@@ -115,10 +134,7 @@
   const time_point now = steady_clock::now();
   if (stop.phase(now, caller_server->active_requests()) >=
       stop_phase::refusing) {
-    metrics.increment(counter::refused_not_run);
-    exchange->respond(
-        {.status = status_unavailable,
-         .headers = {{"Retry-After", format_seconds(stopping_retry)}}});
+    refuse_while_stopping(*exchange);
     return;
   }
   if (!view.ready()) {
@@ -148,6 +164,10 @@
     exchange->respond({.status = status_not_found});
     return;
   }
+  if (may_outlast_stop(*exchange, metadata, *route)) {
+    refuse_while_stopping(*exchange);
+    return;
+  }
   std::vector<std::string> services =
       route->gathers()
           ? route->shards
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -42,19 +42,24 @@
          max_wait_divisor;
 }
 
-fanout::request_plan make_plan(const routes::route& route, std::string id,
+time_point caller_deadline(time_point received_at,
+                           const request_metadata& metadata,
+                           const routes::route& route) {
+  const duration default_timeout =
+      route.timeout > duration::zero() ? route.timeout : default_caller_timeout;
+  return received_at + metadata.remaining.value_or(default_timeout);
+}
+
+fanout::request_plan make_plan(const routes::route& route,
+                               const request_metadata& metadata,
                                std::vector<std::string> services,
                                time_point started_at,
-                               time_point caller_deadline,
                                time_point stop_deadline) {
-  const time_point timeout_at =
-      route.timeout > duration::zero()
-          ? std::min(started_at + route.timeout, caller_deadline)
-          : caller_deadline;
   const time_point deadline =
-      std::min(timeout_at - deadline_reserve, stop_deadline);
+      std::min(request_deadline(started_at, metadata, route) - deadline_reserve,
+               stop_deadline);
   const bool has_objective = route.latency_objective > duration::zero();
-  return {.id = std::move(id),
+  return {.id = metadata.request_id,
           .route = &route,
           .services = std::move(services),
           .started_at = started_at,
@@ -74,6 +79,15 @@
 
 }  // namespace
 
+time_point request_deadline(time_point received_at,
+                            const request_metadata& metadata,
+                            const routes::route& route) {
+  const time_point deadline = caller_deadline(received_at, metadata, route);
+  return route.timeout > duration::zero()
+             ? std::min(received_at + route.timeout, deadline)
+             : deadline;
+}
+
 request_task::request_task(traffic_context& context,
                            std::shared_ptr<http::exchange> exchange,
                            request_metadata metadata,
@@ -88,12 +102,9 @@
       table_(std::move(table)),
       route_(route),
       received_at_(exchange_->received_at()),
-      caller_deadline_(received_at_ + metadata_.remaining.value_or(
-                                          route.timeout > duration::zero()
-                                              ? route.timeout
-                                              : default_caller_timeout)),
-      execution_(make_plan(route, metadata_.request_id, std::move(services),
-                           received_at_, caller_deadline_, stop_deadline),
+      caller_deadline_(caller_deadline(received_at_, metadata_, route)),
+      execution_(make_plan(route, metadata_, std::move(services), received_at_,
+                           stop_deadline),
                  make_hooks()),
       picker_(context.leafs, context.queue,
               {.work_class = route.name,
--- a/packages/tier/src/request_task.hpp
+++ b/packages/tier/src/request_task.hpp
@@ -30,6 +30,12 @@
   leafs::attempt_id last_attempt_id = 0;
 };
 
+/// When the caller or the route stops waiting for a response, whichever is
+/// first.
+time_point request_deadline(time_point received_at,
+                            const request_metadata& metadata,
+                            const routes::route& route);
+
 class request_task : public std::enable_shared_from_this<request_task> {
  public:
   /// `table` keeps the configuration alive that `route` is part of. The request
