leafs: one module decides whether and how much a daemon sends to a leaf

Change: leaf_throttle holds them all; every path asks it through pick, service_unavailable_reason or throughput. leaf_set keeps registrations and estimates, 432 lines. No change of behaviour: pauses and leaving are not decoded yet. Measured: the tests of leafs (31), fanout (43), waiting (8) and platform (37) pass.

--- a/packages/fanout/src/execution.cpp
+++ b/packages/fanout/src/execution.cpp
@@ -70,7 +70,6 @@
       continue;
     }
     shards_[i].no_leaf_reason = leaf.error();
-    const bool limited = leaf.error() == unavailable_reason::all_limited;
     const duration lateness = leafs::is_temporary(leaf.error())
                                   ? expected_lateness(now, i)
                                   : duration::zero();
@@ -86,8 +85,9 @@
     const auto failed_shards = static_cast<std::size_t>(
         std::ranges::count_if(shards_, &shard_state::given_up));
     if (!coverage_suffices(shards_.size() - failed_shards)) {
-      refuse(leafs::name_of(leaf.error()),
-             limited ? max_lateness : retry_after_ejected);
+      refuse(leafs::name_of(leaf.error()), leafs::has_known_turn(leaf.error())
+                                               ? max_lateness
+                                               : retry_after_ejected);
       return take_actions(now);
     }
     if (!coverage_suffices(shards_.size() - failed_shards - late_shards)) {
@@ -152,7 +152,7 @@
                             unavailable_reason reason) const {
   if (!leafs::is_temporary(reason) || !shards_[index].open_attempts.empty())
     return false;
-  return reason != unavailable_reason::all_limited ||
+  return !leafs::has_known_turn(reason) ||
          expected_lateness(now, index) <= duration::zero();
 }
 
--- a/packages/leafs/include/medlarloft/leafs.hpp
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -63,8 +63,24 @@
   /// Requests per second that the leaf takes from all daemons together;
   /// nothing: it states no limit.
   std::optional<double> rate_limit;
-  /// The response states a limit that is no number. It changes nothing.
-  bool malformed = false;
+  /// The limit cannot be read; the last one stays.
+  bool limit_malformed = false;
+  /// The leaf turned the request away and wants no other one from this daemon
+  /// for so long.
+  std::optional<duration> pause;
+  /// The leaf will end soon.
+  bool leaving = false;
+  /// Headers with a malformed value, which change nothing.
+  std::uint32_t malformed_headers = 0;
+};
+
+/// What changed with a report.
+struct report_changes {
+  bool limit = false;
+  bool pause = false;
+  /// The leaf asked for a pause over the bound.
+  bool pause_shortened = false;
+  bool leaving = false;
 };
 
 /// Limits of a service that apply to all daemons together.
@@ -94,6 +110,7 @@
   none_registered,  // no registered leaf accepts new requests
   all_tried,        // the remaining leafs are excluded by the filter
   all_dark,         // ejected after failures; no trial due, or one in flight
+  all_paused,       // the leafs asked this daemon for a pause
   all_limited,      // the leafs state limits; this daemon's part is used up
   all_busy,         // the in-flight or cold-start limit is reached
 };
@@ -101,7 +118,13 @@
 
 /// Whether a leaf becomes available without any event that changes its state.
 constexpr bool is_temporary(unavailable_reason reason) noexcept {
-  return reason >= unavailable_reason::all_limited;
+  return reason >= unavailable_reason::all_paused;
+}
+
+/// Whether the time at which a leaf becomes available is known.
+constexpr bool has_known_turn(unavailable_reason reason) noexcept {
+  return reason == unavailable_reason::all_paused ||
+         reason == unavailable_reason::all_limited;
 }
 
 /// Restricts the choice of a leaf for one request.
@@ -125,15 +148,16 @@
   leaf_registration registration;
   bool usable = false;
   bool ejected = false;
-  /// The limit that the leaf states, in requests per second.
+  /// What the leaf says of itself; a limit is in requests per second.
   std::optional<double> rate_limit;
+  bool paused = false;
+  bool leaving = false;
   std::size_t in_flight = 0;
   /// Recent response time in relation to the usual one of the work class.
   double slowness = 1;
 };
 
-class in_flight_limit;
-class request_pacer;
+class leaf_throttle;
 
 /// The leafs of all services and the requests in flight to them.
 class leaf_set {
@@ -171,6 +195,8 @@
     /// A lower limit of a leaf counts as this many requests per second of all
     /// daemons together: only responses tell when the limit rises.
     double min_rate_limit = 0.5;
+    /// Upper bound of the pause that a leaf can ask for.
+    duration max_pause = std::chrono::minutes(5);
   };
 
   leaf_set(options settings, std::uint64_t seed);
@@ -201,9 +227,9 @@
                         attempt_outcome outcome);
 
   /// Takes over what a leaf said in its response to a request sent at
-  /// `sent_at`. Returns whether its limit changed.
-  bool on_report(time_point now, leaf_handle leaf, time_point sent_at,
-                 const leaf_report& report);
+  /// `sent_at`.
+  report_changes on_report(time_point now, leaf_handle leaf, time_point sent_at,
+                           const leaf_report& report);
 
   /// Returns how long a request to the leaf usually takes, round trip included.
   duration expected_time(time_point now, leaf_handle leaf,
@@ -219,7 +245,7 @@
       const std::string& work_class) const;
 
   /// Returns the earliest time at which a leaf of the service may get a
-  /// request, as far as limits that leafs state decide on it.
+  /// request, as far as the limits and pauses that leafs state decide on it.
   time_point earliest_turn(time_point now, const std::string& service) const;
 
   void add_round_trip_sample(const std::string& data_centre, duration value);
@@ -241,11 +267,6 @@
     duration expected_time;
     std::string work_class;
   };
-  struct stated_limit {
-    double rate = 0;
-    time_point stated_at;
-    std::shared_ptr<request_pacer> pacer;
-  };
   struct leaf_state {
     leaf_registration registration;
     bool registered = true;
@@ -254,16 +275,9 @@
     time_point slowness_updated_at{};
     std::uint32_t consecutive_outliers = 0;
     time_point last_outlier_at{};
-    std::uint32_t consecutive_failures = 0;
     double failure_rate = 0;
     time_point failure_rate_updated_at{};
-    time_point ejected_until{};
-    /// An ejected leaf gets one trial request at a time.
-    bool trial_in_flight = false;
-    time_point cold_until{};
-    token_bucket cold_tokens{{}};
-    std::shared_ptr<in_flight_limit> limit;
-    std::optional<stated_limit> rate_limit;
+    std::shared_ptr<leaf_throttle> throttle;
   };
 
   duration work_time(const std::string& work_class) const;
@@ -283,10 +297,7 @@
                   const open_attempt& attempt) const;
   void update_estimates(time_point now, leaf_state& leaf,
                         const open_attempt& attempt);
-  void record_failure(time_point now, leaf_state& leaf, bool eject_now);
-  void reset_cold_tokens(time_point now, leaf_state& leaf);
-  /// Mean time between two requests of this daemon to a leaf with this limit.
-  duration limited_period(double rate) const;
+  void set_cold_rate(time_point now, leaf_state& leaf);
 
   options options_;
   random_generator random_;
--- a/packages/leafs/src/leaf_set.cpp
+++ b/packages/leafs/src/leaf_set.cpp
@@ -2,9 +2,8 @@
 #include <array>
 #include <cmath>
 
-#include "in_flight_limit.hpp"
+#include "leaf_throttle.hpp"
 #include "medlarloft/leafs.hpp"
-#include "request_pacer.hpp"
 
 namespace medlarloft::leafs {
 namespace {
@@ -29,9 +28,6 @@
 constexpr double tie_jitter = 0.05;
 /// A paused leaf resumes within about this time.
 constexpr duration pause_cost = std::chrono::milliseconds(120);
-/// Consecutive failures after which a leaf is ejected.
-constexpr std::uint32_t failures_to_eject = 2;
-constexpr std::uint32_t max_ejection_doublings = 4;
 /// Lower bound of measured work times, so that ratios stay finite.
 constexpr duration min_work_time = std::chrono::microseconds(1);
 
@@ -60,18 +56,22 @@
                       known.registration.service == registration.service;
     if (same) {
       known.registration = registration;
-      known.cold_until = now + registration.cold_time_left;
+      known.throttle->set_cold_until(now + registration.cold_time_left);
       return found->second;
     }
     remove(registration.id);
   }
   const auto handle = static_cast<leaf_handle>(leafs_.size());
-  leafs_.push_back({.registration = registration,
-                    .cold_until = now + registration.cold_time_left,
-                    .limit = std::make_shared<in_flight_limit>()});
+  leafs_.push_back(
+      {.registration = registration,
+       .throttle = std::make_shared<leaf_throttle>(
+           leaf_throttle::options{.initial_ejection = options_.initial_ejection,
+                                  .max_ejection = options_.max_ejection,
+                                  .max_pause = options_.max_pause})});
+  leafs_.back().throttle->set_cold_until(now + registration.cold_time_left);
   by_id_[registration.id] = handle;
   by_service_[registration.service].push_back(handle);
-  reset_cold_tokens(now, leafs_.back());
+  set_cold_rate(now, leafs_.back());
   return handle;
 }
 
@@ -91,48 +91,21 @@
 void leaf_set::set_limits(const std::string& service, service_limits limits) {
   limits_[service] = limits;
   for (const leaf_handle each : leafs_of(service))
-    reset_cold_tokens(steady_clock::time_point{}, leafs_[each]);
+    set_cold_rate(steady_clock::time_point{}, leafs_[each]);
 }
 
 void leaf_set::set_quota(daemon_quota quota) {
   quota_ = std::move(quota);
 }
 
-duration leaf_set::limited_period(double rate) const {
-  constexpr double max_period = 3600;
-  const double own_rate =
-      std::max(rate, options_.min_rate_limit) * quota_.rate_fraction;
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(std::min(1 / own_rate, max_period)));
-}
-
-// A response that was overtaken by a later one may state a limit that no longer
-// holds. A lower limit holds at once; a higher one, or none, only if the
-// request was sent after the last statement had arrived.
-bool leaf_set::on_report(time_point now, leaf_handle handle, time_point sent_at,
-                         const leaf_report& report) {
-  if (report.malformed) return false;
-  std::optional<stated_limit>& limit = leafs_[handle].rate_limit;
-  if (!limit && !report.rate_limit) return false;
-  if (!limit) {
-    limit = stated_limit{
-        .rate = *report.rate_limit,
-        .stated_at = now,
-        .pacer = std::make_shared<request_pacer>(
-            now, limited_period(*report.rate_limit), random_.uniform())};
-    return true;
-  }
-  const bool lower = report.rate_limit && *report.rate_limit <= limit->rate;
-  if (!lower && sent_at < limit->stated_at) return false;
-  if (!report.rate_limit) {
-    limit.reset();
-    return true;
-  }
-  limit->stated_at = now;
-  const double previous = std::exchange(limit->rate, *report.rate_limit);
-  // The daemon's part may have changed as well.
-  limit->pacer->set_period(now, limited_period(limit->rate));
-  return limit->rate != previous;
+report_changes leaf_set::on_report(time_point now, leaf_handle handle,
+                                   time_point sent_at,
+                                   const leaf_report& report) {
+  const auto own_rate = [this](double rate) {
+    return std::max(rate, options_.min_rate_limit) * quota_.rate_fraction;
+  };
+  return leafs_[handle].throttle->on_report(now, sent_at, report, own_rate,
+                                            random_.uniform());
 }
 
 time_point leaf_set::earliest_turn(time_point now,
@@ -141,9 +114,7 @@
   for (const leaf_handle handle : leafs_of(service)) {
     const leaf_state& leaf = leafs_[handle];
     if (!accepts_requests(leaf)) continue;
-    earliest = std::min(earliest, leaf.rate_limit
-                                      ? leaf.rate_limit->pacer->next_turn(now)
-                                      : now);
+    earliest = std::min(earliest, leaf.throttle->earliest_turn(now));
   }
   return earliest == time_point::max() ? now : earliest;
 }
@@ -151,15 +122,12 @@
 // The daemons that may use a cold leaf share its rate equally. Each bucket
 // holds one token at most, so that together they send at most `cold_burst`
 // requests at once.
-void leaf_set::reset_cold_tokens(time_point now, leaf_state& leaf) {
+void leaf_set::set_cold_rate(time_point now, leaf_state& leaf) {
   const auto limits = limits_.find(leaf.registration.service);
   const double rate =
       limits == limits_.end() ? 0.0 : limits->second.cold_rate_limit;
-  if (rate <= 0) return;
   const auto users = std::min<std::size_t>(quota_.daemons, options_.cold_burst);
-  leaf.cold_tokens = token_bucket(
-      {.rate_per_second = rate / static_cast<double>(users), .burst = 1});
-  leaf.cold_tokens.try_consume(now, 1);
+  leaf.throttle->set_cold_rate(now, rate / static_cast<double>(users));
 }
 
 std::vector<leaf_handle> leaf_set::leafs_of(const std::string& service) const {
@@ -231,6 +199,7 @@
 
 bool leaf_set::accepts_requests(const leaf_state& leaf) const {
   return leaf.registered && !leaf.registration.draining &&
+         !leaf.throttle->leaving() &&
          !data_centres_out_.contains(leaf.registration.data_centre);
 }
 
@@ -246,28 +215,13 @@
 std::optional<unavailable_reason> leaf_set::leaf_unavailable_reason(
     time_point now, const leaf_state& leaf) const {
   if (!accepts_requests(leaf)) return unavailable_reason::none_registered;
-  const bool ejected = leaf.consecutive_failures >= failures_to_eject;
-  if (ejected && (now < leaf.ejected_until || leaf.trial_in_flight)) {
-    return unavailable_reason::all_dark;
-  }
-  if (!leaf.limit->admits(now, leaf.open_attempts.size(),
-                          max_in_flight(leaf))) {
-    return unavailable_reason::all_busy;
-  }
-  const auto limits = limits_.find(leaf.registration.service);
-  const bool has_cold_limit =
-      limits != limits_.end() && limits->second.cold_rate_limit > 0;
-  if (has_cold_limit && now < leaf.cold_until) {
-    const std::size_t daemon_index =
-        quota_.daemon_index ? quota_.daemon_index(leaf.registration.id) : 0;
-    if (daemon_index >= options_.cold_burst)
-      return unavailable_reason::all_busy;
-    token_bucket tokens = leaf.cold_tokens;
-    if (!tokens.try_consume(now)) return unavailable_reason::all_busy;
-  }
-  if (leaf.rate_limit && !leaf.rate_limit->pacer->admits(now))
-    return unavailable_reason::all_limited;
-  return std::nullopt;
+  const bool may_use_cold =
+      !leaf.throttle->cold(now) || !quota_.daemon_index ||
+      quota_.daemon_index(leaf.registration.id) < options_.cold_burst;
+  return leaf.throttle->unavailable(now,
+                                    {.in_flight = leaf.open_attempts.size(),
+                                     .max_in_flight = max_in_flight(leaf),
+                                     .may_use_cold = may_use_cold});
 }
 
 double leaf_set::cost(time_point now, const leaf_state& leaf,
@@ -338,10 +292,7 @@
   leaf_state& leaf = leafs_[handle];
   leaf.open_attempts.push_back(
       {attempt, now, expected_leaf_time(now, leaf, work_class), work_class});
-  if (leaf.consecutive_failures >= failures_to_eject)
-    leaf.trial_in_flight = true;
-  if (now < leaf.cold_until) leaf.cold_tokens.try_consume(now);
-  if (leaf.rate_limit) leaf.rate_limit->pacer->consume(now);
+  leaf.throttle->on_sent(now);
 }
 
 void leaf_set::on_attempt_ended(time_point now, leaf_handle handle,
@@ -353,7 +304,6 @@
   const open_attempt ended = *found;
   const std::size_t in_flight = leaf.open_attempts.size();
   leaf.open_attempts.erase(found);
-  leaf.trial_in_flight = false;
   const bool counts_as_failure = outcome != attempt_outcome::answered &&
                                  outcome != attempt_outcome::abandoned;
   if (outcome != attempt_outcome::abandoned) {
@@ -363,27 +313,8 @@
         failure_rate_weight * ((counts_as_failure ? 1 : 0) - previous_rate);
     leaf.failure_rate_updated_at = now;
   }
-  switch (outcome) {
-    case attempt_outcome::answered:
-      leaf.consecutive_failures = 0;
-      leaf.limit->on_answered(now, in_flight, ended.expected_time);
-      update_estimates(now, leaf, ended);
-      break;
-    case attempt_outcome::failed:
-    case attempt_outcome::lost:
-    case attempt_outcome::silent:
-      record_failure(now, leaf, false);
-      break;
-    case attempt_outcome::no_connection:
-    case attempt_outcome::misdirected:
-      record_failure(now, leaf, true);
-      break;
-    case attempt_outcome::shed:
-      leaf.limit->on_shed(now, in_flight, ended.expected_time);
-      break;
-    case attempt_outcome::abandoned:
-      break;
-  }
+  leaf.throttle->on_ended(now, outcome, in_flight, ended.expected_time);
+  if (outcome == attempt_outcome::answered) update_estimates(now, leaf, ended);
 }
 
 // Returns the processing time of the request as a multiple of the usual one.
@@ -423,19 +354,6 @@
   average += scaled(sample - average, work_time_weight);
 }
 
-void leaf_set::record_failure(time_point now, leaf_state& leaf,
-                              bool eject_now) {
-  leaf.consecutive_failures =
-      eject_now ? std::max(leaf.consecutive_failures + 1, failures_to_eject)
-                : leaf.consecutive_failures + 1;
-  if (leaf.consecutive_failures < failures_to_eject) return;
-  const std::uint32_t doublings = std::min(
-      leaf.consecutive_failures - failures_to_eject, max_ejection_doublings);
-  leaf.ejected_until =
-      now + std::min(options_.initial_ejection * (1U << doublings),
-                     options_.max_ejection);
-}
-
 std::optional<service_throughput> leaf_set::throughput(
     time_point now, const std::string& service,
     const std::string& work_class) const {
@@ -446,17 +364,15 @@
   double completions_per_second = 0;
   for (const leaf_handle handle : found->second) {
     const leaf_state& leaf = leafs_[handle];
-    const bool ejected = leaf.consecutive_failures >= failures_to_eject;
-    if (!accepts_requests(leaf) || ejected || now < leaf.cold_until) continue;
-    const double response_time =
-        seconds(expected_leaf_time(now, leaf, work_class)).count();
-    double leaf_in_flight = leaf.limit->average_in_flight(max_in_flight(leaf));
-    if (leaf.rate_limit) {
-      const seconds period = leaf.rate_limit->pacer->period();
-      leaf_in_flight = std::min(leaf_in_flight, response_time / period.count());
-    }
+    const leaf_throttle& throttle = *leaf.throttle;
+    const bool excluded =
+        throttle.ejected() || throttle.cold(now) || throttle.paused(now);
+    if (!accepts_requests(leaf) || excluded) continue;
+    const duration response_time = expected_leaf_time(now, leaf, work_class);
+    const double leaf_in_flight =
+        throttle.average_in_flight(max_in_flight(leaf), response_time);
     total_in_flight += leaf_in_flight;
-    completions_per_second += leaf_in_flight / response_time;
+    completions_per_second += leaf_in_flight / seconds(response_time).count();
   }
   if (completions_per_second <= 0) return std::nullopt;
   return service_throughput{
@@ -486,10 +402,10 @@
     const leaf_state& leaf = leafs_[handle];
     all.push_back({.registration = leaf.registration,
                    .usable = accepts_requests(leaf),
-                   .ejected = leaf.consecutive_failures >= failures_to_eject,
-                   .rate_limit = leaf.rate_limit
-                                     ? std::optional(leaf.rate_limit->rate)
-                                     : std::nullopt,
+                   .ejected = leaf.throttle->ejected(),
+                   .rate_limit = leaf.throttle->rate_limit(),
+                   .paused = leaf.throttle->paused(now),
+                   .leaving = leaf.throttle->leaving(),
                    .in_flight = leaf.open_attempts.size(),
                    .slowness = slowness(now, leaf)});
   }
@@ -507,8 +423,9 @@
 }
 
 std::string_view name_of(unavailable_reason reason) noexcept {
-  constexpr std::array<std::string_view, 5> names{
-      "none_registered", "all_tried", "all_dark", "all_limited", "all_busy"};
+  constexpr std::array<std::string_view, 6> names{
+      "none_registered", "all_tried",   "all_dark",
+      "all_paused",      "all_limited", "all_busy"};
   return names[static_cast<std::size_t>(reason)];
 }
 
--- a/packages/leafs/tests/stated_limit_test.cpp
+++ b/packages/leafs/tests/stated_limit_test.cpp
@@ -160,10 +160,10 @@
 };
 
 TEST_F(stated_limit_of_one_leaf, a_response_without_a_limit_ends_it) {
-  EXPECT_TRUE(set.on_report(start, a, start, {.rate_limit = 10}));
+  EXPECT_TRUE(set.on_report(start, a, start, {.rate_limit = 10}).limit);
   EXPECT_TRUE(limited_at(start));
   const time_point later = start + seconds(1);
-  EXPECT_TRUE(set.on_report(later, a, later, {}));
+  EXPECT_TRUE(set.on_report(later, a, later, {}).limit);
   EXPECT_FALSE(limited_at(later));
 }
 
@@ -172,23 +172,26 @@
 TEST_F(stated_limit_of_one_leaf, an_overtaken_response_does_not_lift_it) {
   set.on_report(start + milliseconds(20), a, start, {.rate_limit = 5});
   const time_point later = start + milliseconds(21);
-  EXPECT_FALSE(set.on_report(later, a, start + milliseconds(5), {}));
+  EXPECT_FALSE(set.on_report(later, a, start + milliseconds(5), {}).limit);
   EXPECT_FALSE(
-      set.on_report(later, a, start + milliseconds(5), {.rate_limit = 80}));
+      set.on_report(later, a, start + milliseconds(5), {.rate_limit = 80})
+          .limit);
   EXPECT_EQ(set.statuses(later).front().rate_limit, 5);
 }
 
 TEST_F(stated_limit_of_one_leaf, a_lower_limit_holds_at_once) {
   set.on_report(start + milliseconds(20), a, start, {.rate_limit = 5});
   EXPECT_TRUE(
-      set.on_report(start + milliseconds(21), a, start, {.rate_limit = 0.5}));
+      set.on_report(start + milliseconds(21), a, start, {.rate_limit = 0.5})
+          .limit);
   EXPECT_EQ(set.statuses(start).front().rate_limit, 0.5);
 }
 
 TEST_F(stated_limit_of_one_leaf, a_malformed_limit_changes_nothing) {
   set.on_report(start, a, start, {.rate_limit = 5});
   EXPECT_FALSE(set.on_report(start + seconds(1), a, start + seconds(1),
-                             {.malformed = true}));
+                             {.limit_malformed = true})
+                   .limit);
   EXPECT_EQ(set.statuses(start).front().rate_limit, 5);
 }
 
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -251,8 +251,11 @@
 // Error responses and those that come too late are statements of the leaf, too.
 void request_task::apply_report(time_point now, const open_attempt& open,
                                 const leafs::leaf_report& report) {
-  if (report.malformed) context_.metrics.increment(counter::reports_ignored);
-  if (!context_.leafs.on_report(now, open.leaf, open.sent_at, report)) return;
+  context_.metrics.increment(counter::reports_ignored,
+                             report.malformed_headers);
+  const leafs::report_changes changes =
+      context_.leafs.on_report(now, open.leaf, open.sent_at, report);
+  if (!changes.limit) return;
   const leafs::leaf_registration& leaf = *context_.leafs.find(open.leaf);
   context_.log.write(report.rate_limit ? "leaf_limited" : "leaf_limit_ended",
                      {{"leaf", leaf.id},
