leafs, platform: a leaf that says that it leaves gets no more requests

Cause: the header Server-Leaving was not read; only the store told. Class: a word of the leaf itself that goes before its record. Line leaf_leaving, gauge leafs_leaving.

--- /dev/null
+++ b/packages/leafs/tests/leaf_reports_test.cpp
@@ -0,0 +1,100 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+#include "medlarloft/leafs.hpp"
+
+namespace medlarloft::leafs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point start = time_point{} + std::chrono::hours(1);
+
+leaf_registration leaf(std::string id, std::int64_t start_id = 1) {
+  return {.id = std::move(id),
+          .service = "s",
+          .address = {"10.0.0.1", 80},
+          .data_centre = "near",
+          .slots = 4,
+          .start_id = start_id};
+}
+
+class leaf_reports : public ::testing::Test {
+ protected:
+  leaf_reports() { set.set_limits("s", {.max_connections = 40}); }
+
+  leaf_set set{{.local_data_centre = "near"}, 7};
+};
+
+// A leaf says that it leaves, while its record in the store is older and still
+// says that it is ready.
+TEST_F(leaf_reports, an_older_record_does_not_bring_back_a_leaf_that_leaves) {
+  const leaf_handle a = set.put(start, leaf("a"));
+  EXPECT_TRUE(set.on_report(start, a, start, {.leaving = true}).leaving);
+  EXPECT_FALSE(set.on_report(start, a, start, {.leaving = true}).leaving);
+  set.put(start + seconds(1), leaf("a"));
+  EXPECT_FALSE(set.usable(a));
+  EXPECT_EQ(set.pick(start + seconds(1), "s", "w").error(),
+            unavailable_reason::none_registered);
+}
+
+TEST_F(leaf_reports, a_late_response_without_it_does_not_bring_it_back) {
+  const leaf_handle a = set.put(start, leaf("a"));
+  set.on_report(start, a, start, {.leaving = true});
+  set.on_report(start + seconds(1), a, start, {});
+  EXPECT_FALSE(set.usable(a));
+}
+
+TEST_F(leaf_reports, a_new_start_under_the_same_id_is_used) {
+  const leaf_handle a = set.put(start, leaf("a"));
+  set.on_report(start, a, start, {.leaving = true});
+  const leaf_handle restarted = set.put(start, leaf("a", 2));
+  EXPECT_FALSE(set.usable(a));
+  EXPECT_TRUE(set.usable(restarted));
+}
+
+// Responses of earlier starts arrive in any order with records of the store. No
+// start that said that it leaves may be used again, and every other one may.
+TEST(leaf_reports_property, each_start_of_a_leaf_leaves_by_its_own_word) {
+  EXPECT_TRUE(rc::check([](const std::vector<std::uint8_t>& steps) {
+    leaf_set set({.local_data_centre = "near"}, 7);
+    set.set_limits("s", {.max_connections = 40});
+    std::map<std::string, std::int64_t> starts{{"a", 1}, {"b", 1}};
+    std::vector<leaf_handle> handles;
+    std::set<leaf_handle> left;
+    std::map<std::string, leaf_handle> current;
+    time_point now = start;
+    for (const std::uint8_t step : steps) {
+      now += milliseconds(10);
+      const std::string id(1, static_cast<char>('a' + step % 2));
+      switch (step / 2 % 4) {
+        case 0:
+          ++starts[id];
+          [[fallthrough]];
+        case 1:
+          current[id] = set.put(now, leaf(id, starts[id]));
+          handles.push_back(current[id]);
+          break;
+        case 2:
+          if (handles.empty()) break;
+          left.insert(handles[step % handles.size()]);
+          set.on_report(now, handles[step % handles.size()], now,
+                        {.leaving = true});
+          break;
+        default:
+          set.remove(id);
+          current.erase(id);
+      }
+      for (const auto& [name, handle] : current)
+        RC_ASSERT(set.usable(handle) == !left.contains(handle));
+      const auto picked = set.pick(now, "s", "w");
+      RC_ASSERT(!picked || !left.contains(picked.value()));
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace medlarloft::leafs
--- a/packages/tier/src/daemon_metrics.hpp
+++ b/packages/tier/src/daemon_metrics.hpp
@@ -45,6 +45,7 @@
   leafs_usable,        // may be sent requests
   leafs_ejected,       // of these, get trial requests only
   leafs_limited,       // of these, state a limit of requests per second
+  leafs_leaving,       // registered, and said that they leave
   leaf_requests_open,  // sent and not ended
   requests_running,
   requests_waiting,  // entries in the wait queues for a free leaf
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -255,15 +255,22 @@
                              report.malformed_headers);
   const leafs::report_changes changes =
       context_.leafs.on_report(now, open.leaf, open.sent_at, report);
-  if (!changes.limit) return;
-  const leafs::leaf_registration& leaf = *context_.leafs.find(open.leaf);
-  context_.log.write(report.rate_limit ? "leaf_limited" : "leaf_limit_ended",
-                     {{"leaf", leaf.id},
-                      {"service", leaf.service},
-                      {"limit", report.rate_limit.value_or(0)},
-                      {"source", "response"},
-                      {"request", metadata_.request_id},
-                      {"sent_before", to_whole_us(now - open.sent_at)}});
+  const auto log_change = [&](std::string_view event,
+                              const logs::field& value) {
+    const leafs::leaf_registration& leaf = *context_.leafs.find(open.leaf);
+    context_.log.write(event,
+                       {{"leaf", leaf.id},
+                        {"service", leaf.service},
+                        value,
+                        {"source", "response"},
+                        {"request", metadata_.request_id},
+                        {"sent_before", to_whole_us(now - open.sent_at)}});
+  };
+  if (changes.limit) {
+    log_change(report.rate_limit ? "leaf_limited" : "leaf_limit_ended",
+               {"limit", report.rate_limit.value_or(0)});
+  }
+  if (changes.leaving) log_change("leaf_leaving", {"leaving", true});
 }
 
 void request_task::on_attempt_ended(leafs::attempt_id attempt,
