leafs, platform: a leaf that asks for a pause gets it

Cause: Retry-After of a leaf's 503 was not read. Change: leaf_throttle sends nothing until the latest end; requests that cannot be served are refused at once with the time of the earliest turn, spread by up to half. Line leaf_paused, gauge leafs_paused, reason all_paused.

--- a/packages/fanout/include/medlarloft/fanout.hpp
+++ b/packages/fanout/include/medlarloft/fanout.hpp
@@ -250,6 +250,8 @@
   void end_wait(std::size_t index);
   duration expected_lateness(time_point now, std::size_t index) const;
   void refuse(std::string_view reason, duration retry_after);
+  duration spread(duration retry_after) const;
+  duration time_until_turns() const;
   void send(time_point now, std::size_t index, leaf_handle leaf,
             attempt_kind kind);
   void after_failure(time_point now, std::size_t index,
--- a/packages/fanout/src/execution.cpp
+++ b/packages/fanout/src/execution.cpp
@@ -121,11 +121,28 @@
   for (shard_state& shard : shards_)
     shard.open_attempts.clear();
   finish(request_outcome::not_run, reason);
+  pending_.result->retry_after = spread(retry_after);
+}
+
+duration execution::spread(duration retry_after) const {
   const double jitter =
       retry_after_jitter * static_cast<double>(hash64(plan_.id)) /
       static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  pending_.result->retry_after = std::clamp(scaled(retry_after, 1 + jitter),
-                                            retry_after_busy, max_retry_after);
+  return std::clamp(scaled(retry_after, 1 + jitter), retry_after_busy,
+                    max_retry_after);
+}
+
+// Returns the time until a leaf of every missing shard may be sent a request,
+// as far as it is known.
+duration execution::time_until_turns() const {
+  duration longest{};
+  if (!hooks_.estimate_wait) return longest;
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    if (shards_[i].response) continue;
+    longest =
+        std::max(longest, hooks_.estimate_wait(plan_.services[i]).min_wait);
+  }
+  return longest;
 }
 
 void execution::begin_wait(time_point now, std::size_t index,
@@ -378,6 +395,9 @@
 void execution::finish(request_outcome outcome, std::string_view reason) {
   finished_ = true;
   request_result result{.outcome = outcome, .reason = reason};
+  const duration until_turns = outcome == request_outcome::not_run
+                                   ? time_until_turns()
+                                   : duration::zero();
   bool busy = false;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     shard_state& shard = shards_[i];
@@ -408,6 +428,8 @@
     result.reason = "leaf_failed";
   }
   result.retry_after = busy ? retry_after_busy : retry_after_ejected;
+  if (until_turns > result.retry_after)
+    result.retry_after = spread(until_turns);
   pending_.result = std::move(result);
 }
 
--- a/packages/leafs/tests/leaf_reports_test.cpp
+++ b/packages/leafs/tests/leaf_reports_test.cpp
@@ -56,6 +56,44 @@
   EXPECT_TRUE(set.usable(restarted));
 }
 
+TEST_F(leaf_reports, a_leaf_that_asks_for_a_pause_gets_no_request_meanwhile) {
+  const leaf_handle a = set.put(start, leaf("a"));
+  EXPECT_TRUE(set.on_report(start, a, start, {.pause = seconds(2)}).pause);
+  const time_point end = start + seconds(2);
+  EXPECT_EQ(set.pick(end - milliseconds(1), "s", "w").error(),
+            unavailable_reason::all_paused);
+  EXPECT_EQ(set.earliest_turn(start, "s"), end);
+  EXPECT_TRUE(set.pick(end, "s", "w"));
+}
+
+// Several requests were turned away, each with a time of its own.
+TEST_F(leaf_reports, the_latest_end_of_a_pause_holds) {
+  const leaf_handle a = set.put(start, leaf("a"));
+  set.on_report(start, a, start, {.pause = seconds(2)});
+  EXPECT_FALSE(
+      set.on_report(start + milliseconds(5), a, start, {.pause = seconds(1)})
+          .pause);
+  set.on_report(start + milliseconds(9), a, start, {});
+  EXPECT_EQ(set.earliest_turn(start, "s"), start + seconds(2));
+}
+
+TEST_F(leaf_reports, a_pause_has_an_upper_bound) {
+  const leaf_handle a = set.put(start, leaf("a"));
+  const auto changes =
+      set.on_report(start, a, start, {.pause = std::chrono::hours(9)});
+  EXPECT_TRUE(changes.pause_shortened);
+  EXPECT_EQ(set.earliest_turn(start, "s"), start + std::chrono::minutes(5));
+}
+
+TEST_F(leaf_reports, a_pause_and_a_limit_hold_together) {
+  const leaf_handle a = set.put(start, leaf("a"));
+  set.on_report(start, a, start, {.rate_limit = 0.5, .pause = seconds(3)});
+  const time_point turn = set.earliest_turn(start, "s");
+  EXPECT_GE(turn, start + seconds(3));
+  EXPECT_FALSE(set.pick(turn - milliseconds(1), "s", "w"));
+  EXPECT_TRUE(set.pick(turn, "s", "w"));
+}
+
 // Responses of earlier starts arrive in any order with records of the store. No
 // start that said that it leaves may be used again, and every other one may.
 TEST(leaf_reports_property, each_start_of_a_leaf_leaves_by_its_own_word) {
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -133,6 +133,8 @@
   const auto limited = std::ranges::count_if(statuses, [](const auto& leaf) {
     return leaf.usable && leaf.rate_limit;
   });
+  const auto paused = std::ranges::count_if(
+      statuses, [](const auto& leaf) { return leaf.usable && leaf.paused; });
   const auto leaving =
       std::ranges::count_if(statuses, &leafs::leaf_status::leaving);
   const auto open = std::accumulate(
@@ -141,6 +143,7 @@
   metrics.set(gauge::leafs_usable, to_double(usable));
   metrics.set(gauge::leafs_ejected, to_double(ejected));
   metrics.set(gauge::leafs_limited, to_double(limited));
+  metrics.set(gauge::leafs_paused, to_double(paused));
   metrics.set(gauge::leafs_leaving, to_double(leaving));
   metrics.set(gauge::leaf_requests_open, to_double(open));
   metrics.set(gauge::requests_running,
--- a/packages/tier/src/daemon_metrics.cpp
+++ b/packages/tier/src/daemon_metrics.cpp
@@ -22,9 +22,10 @@
     gauge_names{"configuration_version", "store_revision",
                 "store_age_seconds",     "members",
                 "leafs_usable",          "leafs_ejected",
-                "leafs_limited",         "leafs_leaving",
-                "leaf_requests_open",    "requests_running",
-                "requests_waiting",      "loop_lag_seconds"};
+                "leafs_limited",         "leafs_paused",
+                "leafs_leaving",         "leaf_requests_open",
+                "requests_running",      "requests_waiting",
+                "loop_lag_seconds"};
 
 }  // namespace
 
--- a/packages/tier/src/daemon_metrics.hpp
+++ b/packages/tier/src/daemon_metrics.hpp
@@ -30,7 +30,7 @@
   store_calls,
   peer_bytes,
   address_answers,
-  reports_ignored,  // headers of leafs with a malformed value
+  reports_ignored,  // headers of leafs with a malformed or excessive value
   counter_count     // the number of counters
 };
 
@@ -45,6 +45,7 @@
   leafs_usable,        // may be sent requests
   leafs_ejected,       // of these, get trial requests only
   leafs_limited,       // of these, state a limit of requests per second
+  leafs_paused,        // of these, asked for a pause
   leafs_leaving,       // registered, and said that they leave
   leaf_requests_open,  // sent and not ended
   requests_running,
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -255,6 +255,8 @@
                              report.malformed_headers);
   const leafs::report_changes changes =
       context_.leafs.on_report(now, open.leaf, open.sent_at, report);
+  if (changes.pause_shortened)
+    context_.metrics.increment(counter::reports_ignored);
   const auto log_change = [&](std::string_view event,
                               const logs::field& value) {
     const leafs::leaf_registration& leaf = *context_.leafs.find(open.leaf);
@@ -270,6 +272,7 @@
     log_change(report.rate_limit ? "leaf_limited" : "leaf_limit_ended",
                {"limit", report.rate_limit.value_or(0)});
   }
+  if (changes.pause) log_change("leaf_paused", {"pause", *report.pause});
   if (changes.leaving) log_change("leaf_leaving", {"leaving", true});
 }
 
