soak: leafs state limits, ask for pauses and leave by their own word

Change: the fake leaf says it in its responses; statement_checker joins what leafs see with the daemon of each caller's attempt.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -288,6 +288,7 @@
 void deployment::send_signal(std::size_t index, int signal_number) {
   daemon_process& daemon = daemons_[index];
   if (!daemon.running()) return;
+  if (on_signal) on_signal(daemon);
   if (signal_number == SIGKILL) daemon.killed = true;
   if (signal_number == SIGSTOP) daemon.paused = true;
   if (signal_number == SIGCONT) daemon.paused = false;
@@ -297,6 +298,15 @@
   ::kill(daemon.pid, signal_number);
 }
 
+bool deployment::responses_arrive(const std::string& leaf) const {
+  const auto found = std::ranges::find_if(leafs_, [&leaf](const auto& each) {
+    return each->settings().id == leaf;
+  });
+  const auto index = static_cast<std::size_t>(found - leafs_.begin());
+  return index < leafs_.size() &&
+         leaf_links_[index]->mode() == link_mode::forwarding;
+}
+
 duration deployment::processor_time() const {
   // The 14th and 15th fields are user and kernel time in clock ticks.
   constexpr int user_field = 14;
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -5,6 +5,7 @@
 
 #include <sys/types.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -77,6 +78,8 @@
 
   void start_daemon(std::size_t index);
   void send_signal(std::size_t index, int signal_number);
+  /// Called before a signal is sent to a daemon's process.
+  std::function<void(const daemon_process&)> on_signal;
   /// Returns the CPU time that the running daemons have used.
   duration processor_time() const;
   /// Returns a daemon process that ended and was not yet returned, if any.
@@ -103,6 +106,8 @@
   std::vector<std::unique_ptr<standins::leaf>>& leafs() { return leafs_; }
   /// Returns the link from all daemons to the leaf.
   link& leaf_link(std::size_t index) { return *leaf_links_[index]; }
+  /// Whether responses of the leaf reach the daemons.
+  bool responses_arrive(const std::string& leaf) const;
   /// Returns the link from the daemon to the store.
   link& store_link(std::size_t index) { return *store_links_[index]; }
   /// Sets the mode of the links from the other daemons to this one. Messages
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -25,6 +25,7 @@
 /// Distinguish the generators of faults that were added later.
 constexpr std::uint64_t peer_random_id = 2;
 constexpr std::uint64_t endless_random_id = 3;
+constexpr std::uint64_t statement_random_id = 4;
 /// One fault between daemons is added per this many events.
 constexpr std::size_t events_per_peer_fault = 4;
 
@@ -41,7 +42,8 @@
       options_(options),
       random_(options.seed),
       peer_random_(hash_combine(options.seed, peer_random_id)),
-      endless_random_(hash_combine(options.seed, endless_random_id)) {}
+      endless_random_(hash_combine(options.seed, endless_random_id)),
+      statement_random_(hash_combine(options.seed, statement_random_id)) {}
 
 void fault_plan::start() {
   started_at_ = steady_clock::now();
@@ -50,6 +52,7 @@
   if (!options_.inject_faults) return;
   schedule_peer_faults();
   schedule_endless_responses();
+  schedule_statements();
 }
 
 void fault_plan::schedule(duration when, std::function<void()> action) {
@@ -115,15 +118,7 @@
         leaf.set_draining(true);
         deployment_.register_leaf(leaf);
         checker_.on_leaf_draining(steady_clock::now(), leaf.settings().id);
-        timers_.after(leaf_stop_delay, [this, index] {
-          standins::leaf& drained = *deployment_.leafs()[index];
-          if (!drained.running()) return;
-          drained.crash();
-          deployment_.deregister_leaf(drained);
-          drained.restart(drained.settings().start_id + 1);
-          checker_.on_leaf_serving(drained.settings().id);
-          deployment_.register_leaf(drained);
-        });
+        timers_.after(leaf_stop_delay, [this, index] { replace_leaf(index); });
       });
       break;
     }
@@ -275,6 +270,64 @@
   }
 }
 
+void fault_plan::replace_leaf(std::size_t leaf) {
+  standins::leaf& ended = *deployment_.leafs()[leaf];
+  if (!ended.running()) return;
+  ended.crash();
+  deployment_.deregister_leaf(ended);
+  ended.restart(ended.settings().start_id + 1);
+  checker_.on_leaf_serving(ended.settings().id);
+  deployment_.register_leaf(ended);
+}
+
+void fault_plan::schedule_statements() {
+  constexpr std::uint64_t max_rate_limit = 20;
+  constexpr int limited_leafs = 3;
+  constexpr int pauses = 3;
+  constexpr int leaving_leafs = 2;
+  const std::size_t count = deployment_.leafs().size();
+  const auto draw_time = [this] {
+    return options_.window_begin +
+           statement_random_.below(options_.window_end - options_.window_begin);
+  };
+  for (int i = 0; i < limited_leafs; ++i) {
+    const std::size_t leaf = statement_random_.below(count);
+    const auto limit =
+        static_cast<double>(1 + statement_random_.below(max_rate_limit));
+    schedule(options_.window_begin, [this, leaf, limit] {
+      standins::leaf& limited = *deployment_.leafs()[leaf];
+      log_("limit " + limited.settings().id + " " + std::to_string(limit));
+      limited.set_statement({.rate_limit = limit});
+    });
+  }
+  for (int i = 0; i < pauses; ++i)
+    schedule_pause(statement_random_.below(count), draw_time());
+  for (int i = 0; i < leaving_leafs; ++i)
+    schedule_leaving(statement_random_.below(count), draw_time());
+}
+
+// The leaf turns requests away for a while, with a longer pause.
+void fault_plan::schedule_pause(std::size_t leaf, duration when) {
+  constexpr duration busy_time = milliseconds(600);
+  constexpr duration pause = milliseconds(1800);
+  schedule(when, [this, leaf] {
+    log_("pause " + deployment_.leafs()[leaf]->settings().id);
+    deployment_.leafs()[leaf]->set_statement({.pause = pause});
+  });
+  schedule(when + busy_time,
+           [this, leaf] { deployment_.leafs()[leaf]->set_statement({}); });
+}
+
+// The record of the leaf says that it is ready until it ends.
+void fault_plan::schedule_leaving(std::size_t leaf, duration when) {
+  schedule(when, [this, leaf] {
+    standins::leaf& leaving = *deployment_.leafs()[leaf];
+    log_("leaving " + leaving.settings().id);
+    leaving.set_statement({.leaving = true});
+    timers_.after(leaf_stop_delay, [this, leaf] { replace_leaf(leaf); });
+  });
+}
+
 // Messages from others to some daemons are lost or delayed; messages that these
 // daemons send arrive.
 void fault_plan::schedule_peer_faults() {
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -41,6 +41,12 @@
   void schedule_leaf_fault(duration when, duration span);
   void schedule_peer_faults();
   void schedule_endless_responses();
+  /// Leafs that state limits, pause or leave by their own word; no faults.
+  void schedule_statements();
+  void schedule_pause(std::size_t leaf, duration when);
+  void schedule_leaving(std::size_t leaf, duration when);
+  /// Ends the leaf and starts it again under the same id.
+  void replace_leaf(std::size_t leaf);
   /// Runs `begin` at `when` and `end` after `span`; a fault counts as active
   /// meanwhile.
   void schedule_fault_span(duration when, duration span,
@@ -59,6 +65,7 @@
   /// Separate, so that seeds that once failed still produce the same plans.
   random_generator peer_random_;
   random_generator endless_random_;
+  random_generator statement_random_;
   time_point started_at_;
   bool second_shards_ = false;
 };
--- a/tests/soak/link.hpp
+++ b/tests/soak/link.hpp
@@ -32,6 +32,7 @@
   link& operator=(const link&) = delete;
 
   void set_mode(link_mode mode);
+  link_mode mode() const noexcept { return mode_; }
   /// Resets every open connection.
   void reset_connections();
   /// Stops forwarding on the open connections; new ones work.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -65,7 +65,7 @@
       count_late_attempt(attempt);
     });
     session_.run_for(length_ + drain_time);
-    session_.checker().finish();
+    session_.finish_checks();
     const bool recovered = check_recovery();
     session_.print_results();
     const bool sound = session_.checker().violations().empty() && recovered;
--- a/tests/soak/promises.hpp
+++ b/tests/soak/promises.hpp
@@ -53,6 +53,7 @@
 
   /// Runs the checks that need all requests of the run.
   void finish();
+  void add_violation(time_point now, std::string description);
 
   const std::vector<violation>& violations() const noexcept {
     return violations_;
@@ -77,7 +78,6 @@
   /// Whether no fault was active during `recovery_time` before `now`, so that
   /// the bounds apply.
   bool bounds_apply(time_point now) const;
-  void add_violation(time_point now, std::string description);
   void check_configuration_version(const request_history& request);
   void check_retry_budget();
 
--- a/tests/soak/session.cpp
+++ b/tests/soak/session.cpp
@@ -32,6 +32,28 @@
     checker_.on_execution(request, execution);
     if (on_execution) on_execution(execution);
   };
+  watch_statements();
+}
+
+void session::watch_statements() {
+  standins::execution_log& log = deployment_.execution_log();
+  log.on_arrival = [this](const std::string& request, const auto& leaf) {
+    statements_.on_arrival(steady_clock::now(), request, leaf);
+  };
+  log.on_response = [this](const std::string& request, const auto& leaf,
+                           const auto& statement) {
+    statements_.on_response(steady_clock::now(), request, leaf, statement,
+                            deployment_.responses_arrive(leaf.leaf));
+  };
+  deployment_.on_signal = [this](const daemon_process& daemon) {
+    statements_.on_daemon_interrupted(steady_clock::now(), daemon.ip);
+  };
+}
+
+void session::finish_checks() {
+  checker_.finish();
+  for (const auto& [when, description] : statements_.check(drain_bound))
+    checker_.add_violation(when, description);
 }
 
 void session::start() {
@@ -73,6 +95,9 @@
       [this, on_attempt = std::move(on_attempt)](
           const standins::caller_attempt& attempt) {
         checker_.on_attempt(attempt);
+        const std::string daemon_ip =
+            attempt.daemon.substr(0, attempt.daemon.find(':'));
+        statements_.on_attempt(attempt.request_id, daemon_ip, attempt.sent_at);
         on_attempt(attempt);
       }));
 }
@@ -88,6 +113,7 @@
     const daemon_process& daemon = deployment_.daemons()[end->daemon];
     log("ended " + daemon.id + " code=" + std::to_string(end->code));
     checker_.on_process_end(steady_clock::now(), daemon, *end);
+    statements_.on_daemon_interrupted(steady_clock::now(), daemon.ip);
     if (on_process_end) on_process_end(*end);
   }
   timers_.after(reap_period, [this] { reap(); });
--- a/tests/soak/session.hpp
+++ b/tests/soak/session.hpp
@@ -11,6 +11,7 @@
 #include "callers.hpp"
 #include "deployment.hpp"
 #include "promises.hpp"
+#include "statements.hpp"
 
 namespace medlarloft::soak {
 
@@ -28,6 +29,8 @@
       const std::function<void(const standins::caller_attempt&)>& on_attempt);
   /// Runs the event loop for this long.
   void run_for(duration length);
+  /// Runs the checks that need all requests of the run.
+  void finish_checks();
   /// Prints one line with the time.
   void log(const std::string& text) const;
   void print_results();
@@ -46,12 +49,14 @@
       std::size_t index, double rate,
       std::function<void(const standins::caller_attempt&)> on_attempt);
   void reap();
+  void watch_statements();
 
   loop::io_context loop_;
   loop::timer_queue timers_{loop_};
   std::uint64_t seed_;
   soak::deployment deployment_;
   promise_checker checker_;
+  statement_checker statements_;
   std::vector<std::unique_ptr<standins::callers>> callers_;
   time_point started_at_;
 };
