tier: a line for large changes; a test of how often they are sent

Change: event changes_sent for changes of 64 KiB and more. The simulated fleet gains links of a limited rate and the time to apply a configuration; a test bounds the copies of a large change.

--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -11,6 +11,8 @@
 using std::chrono::milliseconds;
 
 constexpr duration sweep_period = milliseconds(500);
+/// Changes of at least this size are logged when they are sent.
+constexpr std::size_t large_changes_bytes = std::size_t{64} << 10;
 /// Interval at which the selection of readers is updated.
 constexpr duration selection_period = milliseconds(100);
 /// The same until there is a configuration.
@@ -23,6 +25,7 @@
   for (const membership::envelope& envelope : outputs.messages) {
     membership::message message = envelope.message;
     message.load = loads.own_thousandths();
+    log_large_changes(envelope);
     link->send(envelope.to, message);
   }
   for (const membership::member_event& event : outputs.events) {
@@ -33,6 +36,18 @@
   schedule_membership_tick();
 }
 
+void daemon::state::log_large_changes(const membership::envelope& envelope) {
+  const std::vector<notes::release_note>& chain = envelope.message.notes;
+  const auto bytes = std::accumulate(
+      chain.begin(), chain.end(), std::size_t{0},
+      [](std::size_t sum, const auto& note) { return sum + note.text.size(); });
+  if (bytes < large_changes_bytes) return;
+  log.write("changes_sent", {{"to", envelope.to_id},
+                             {"bytes", bytes},
+                             {"revision", envelope.message.version},
+                             {"requested", envelope.message.root.empty()}});
+}
+
 void daemon::state::apply_peer_changes(time_point now,
                                        const replica::store_copy::delta& delta,
                                        std::string_view source) {
--- a/packages/tier/src/daemon_state.hpp
+++ b/packages/tier/src/daemon_state.hpp
@@ -39,6 +39,7 @@
   void serve_readiness(const std::shared_ptr<http::exchange>& exchange);
   std::vector<endpoint> addresses_for(const address_request& request) const;
   void apply_group_outputs(const change_distribution::outputs& outputs);
+  void log_large_changes(const membership::envelope& envelope);
   void apply_peer_changes(time_point now,
                           const replica::store_copy::delta& delta,
                           std::string_view source);
--- a/packages/tier/tests/change_distribution_test.cpp
+++ b/packages/tier/tests/change_distribution_test.cpp
@@ -146,6 +146,34 @@
   }
 }
 
+// Large configurations follow each other. Every daemon that heard of one asked
+// for it again while it was on its way: the repeated transfers took longer than
+// the first ones, and delayed them beyond the limit.
+TEST(change_distribution, a_large_change_is_sent_about_once_to_each_daemon) {
+  constexpr std::size_t bytes = 720 * 1024;
+  constexpr int changes = 5;
+  const propagation_limits limits{.leaf_leaves = seconds(5),
+                                  .configuration = seconds(5)};
+  for (const std::size_t daemons : {8U, 60U}) {
+    SCOPED_TRACE(daemons);
+    simulated_fleet fleet({.daemons = daemons,
+                           .data_centres = 3,
+                           .limits = limits,
+                           .link_rate = 8e6,
+                           .apply_rate = 4e6,
+                           .configuration_bytes = bytes});
+    fleet.run_for(settling_time);
+    const std::uint64_t before = fleet.note_bytes();
+    for (int i = 0; i < changes; ++i) {
+      const int number = fleet.configure();
+      fleet.run_for(limits.configuration);
+      EXPECT_EQ(fleet.behind(number), std::vector<std::size_t>{});
+    }
+    // One copy for each daemon, and half as much for losses and registrations.
+    EXPECT_LE(fleet.note_bytes() - before, bytes * changes * daemons * 3 / 2);
+  }
+}
+
 // What waits in the sockets of a paused daemon states ages as of its sending,
 // and arrives seconds later. It must not pass for a confirmation of the copy.
 TEST(change_distribution, after_a_pause_only_new_answers_confirm_the_copy) {
--- a/packages/tier/tests/simulated_fleet.hpp
+++ b/packages/tier/tests/simulated_fleet.hpp
@@ -37,6 +37,14 @@
     int heartbeat_rate = 50;
     /// Fraction of these writes that remove the registration instead.
     double removals = 0;
+    /// Bytes per second that each daemon sends, and that it receives; zero:
+    /// messages take no time.
+    double link_rate = 0;
+    /// Bytes of a configuration that a daemon applies per second, during which
+    /// it does nothing else; zero: it takes no time.
+    double apply_rate = 0;
+    /// Size of a configuration.
+    std::size_t configuration_bytes = 0;
   };
   /// Whether the store answers a daemon.
   using store_rule = std::function<bool(std::size_t daemon)>;
@@ -90,6 +98,13 @@
   }
   std::uint64_t store_calls() const noexcept { return store_calls_; }
   std::uint64_t messages() const noexcept { return messages_; }
+  /// Bytes of the changes that all daemons sent.
+  std::uint64_t note_bytes() const {
+    std::uint64_t sum = 0;
+    for (const auto& each : daemons_)
+      sum += each->note_bytes;
+    return sum;
+  }
   /// Bytes of the changes that the busiest daemon sent.
   std::uint64_t most_note_bytes() const {
     std::uint64_t most = 0;
@@ -100,7 +115,9 @@
 
   /// Writes a new configuration and returns its number.
   int configure() {
-    write_to_store(configuration_key, std::to_string(++configuration_));
+    std::string value = std::to_string(++configuration_);
+    value.resize(std::max(options_.configuration_bytes, value.size()), ' ');
+    write_to_store(configuration_key, value);
     return configuration_;
   }
   time_point now() const noexcept { return now_; }
@@ -152,6 +169,7 @@
   /// A longer pause is noticed by the process; see pause_guard.
   static constexpr duration noticed_pause = std::chrono::seconds(2);
   static constexpr std::size_t seed_count = 3;
+  static constexpr duration transfer_timeout = std::chrono::seconds(2);
   static constexpr duration near_delay = milliseconds(1);
   static constexpr duration far_delay = milliseconds(5);
 
@@ -212,9 +230,10 @@
                 },
             .copy_revision = [&self] { return self.copy.last_revision(); },
             .apply =
-                [&self](time_point now, const replica::store_copy::delta& delta,
-                        std::string_view) {
-                  update(self,
+                [this, &self](time_point now,
+                              const replica::store_copy::delta& delta,
+                              std::string_view) {
+                  update(now, self,
                          delta.listing
                              ? self.copy.apply_listing(now, delta.changes,
                                                        delta.last_revision)
@@ -228,12 +247,16 @@
     return made;
   }
 
-  static void update(daemon& self, const std::vector<replica::update>& news) {
+  void update(time_point now, daemon& self,
+              const std::vector<replica::update>& news) const {
     for (const replica::update& each : news) {
-      if (each.key == configuration_key && each.value) {
-        self.configuration =
-            std::max(self.configuration, std::stoi(*each.value));
-      }
+      if (each.key != configuration_key || !each.value) continue;
+      self.configuration = std::max(self.configuration, std::stoi(*each.value));
+      if (options_.apply_rate <= 0) continue;
+      const std::chrono::duration<double> busy_time(
+          static_cast<double>(each.value->size()) / options_.apply_rate);
+      self.paused_since = now;
+      self.paused_until = now + std::chrono::duration_cast<duration>(busy_time);
     }
   }
 
@@ -255,11 +278,29 @@
                         (link_rule_ && !link_rule_(from, to, envelope.message));
       if (lost) continue;
       const bool near = centre_of(from) == centre_of(to);
-      queue_.push({now_ + (near ? near_delay : far_delay), order_++, to,
+      const time_point sent =
+          transfer(envelope.message, now_, sending_until_[from]);
+      const time_point received =
+          transfer(envelope.message, sent, receiving_until_[to]);
+      if (received - now_ > transfer_timeout) continue;
+      queue_.push({received + (near ? near_delay : far_delay), order_++, to,
                    envelope.message});
     }
   }
 
+  // Returns when a message has passed a link that is used until `link_until`.
+  time_point transfer(const membership::message& message, time_point from,
+                      time_point& link_until) const {
+    if (options_.link_rate <= 0 || message.notes.empty()) return from;
+    double bytes = 0;
+    for (const auto& note : message.notes)
+      bytes += static_cast<double>(note.text.size());
+    link_until = std::max(link_until, from) +
+                 std::chrono::duration_cast<duration>(
+                     std::chrono::duration<double>(bytes / options_.link_rate));
+    return link_until;
+  }
+
   void deliver_due() {
     while (!queue_.empty() && queue_.top().deliver_at <= now_) {
       const in_flight next = queue_.top();
@@ -341,7 +382,7 @@
         now_ + call_time +
         (answer.full ? duration::zero() : pause_after_changes(options_.limits));
     self.distribution->on_store_answer(now_);
-    update(self,
+    update(now_, self,
            answer.listing
                ? self.copy.apply_listing(now_, answer.changes, answer.revision)
                : self.copy.apply(now_, answer.changes, answer.revision));
@@ -362,6 +403,8 @@
   duration store_delay_{};
   int configuration_ = 0;
   std::priority_queue<in_flight> queue_;
+  std::map<std::size_t, time_point> sending_until_;
+  std::map<std::size_t, time_point> receiving_until_;
   std::uint64_t order_ = 0;
   std::uint64_t messages_ = 0;
   std::uint64_t store_calls_ = 0;
