membership, tier: a large change goes to each daemon once

Cause: a change of some 100 KB and more takes longer than a round trip from daemon to daemon. (1) Each message of a daemon that was ahead made the others ask it, after 0.2 s the next one, also in other data centres; (2) every reader pushed it to the same daemon of each data centre; (3) after 2.2 s without a confirmed copy, which a slow distribution reaches by itself, all asked two others each 0.5 s. The copies filled links and processors, so that the first transfer was late, more daemons read the store, and each of these pushed again. Class: repair that does not know what is on its way, and grows with the load. Change: changes over 16 KB are offered down the tree and pulled from one daemon; requested ones are forwarded where they were offered. One request is open at a time, until it is answered or for 1 s. News from outside the tree waits 0.3 s for the tree. Unconfirmed daemons ask one other, near and far in turn.

--- a/packages/membership/include/medlarloft/membership.hpp
+++ b/packages/membership/include/medlarloft/membership.hpp
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -163,6 +164,15 @@
   double retransmit_factor = 3;
   /// Children of each daemon in the distribution tree of a data centre.
   std::size_t tree_fanout = 4;
+  /// Larger notes are only offered to the children, which request them from one
+  /// daemon.
+  std::size_t max_pushed_bytes = std::numeric_limits<std::size_t>::max();
+  /// A daemon that hears of newer notes outside of the tree waits this long for
+  /// the tree before it requests them.
+  duration repair_delay{};
+  /// Time until requested notes have usually arrived. They are requested from
+  /// another member only after that.
+  duration notes_timeout = std::chrono::milliseconds(300);
   /// Time after which a failed or left daemon that is not published is removed.
   duration removal_delay = std::chrono::minutes(10);
   std::uint64_t random_seed = 1;
@@ -199,8 +209,9 @@
   /// does, for the status that every message carries, such as `store_age`.
   outputs broadcast_status(const std::string& root, bool read_from_store);
 
-  /// Requests newer notes from one random member of this data centre and one of
-  /// another. They answer also if they have none.
+  /// Requests newer notes from one random member, in turn of this data centre
+  /// and of another. It answers also if it has none. Does nothing while a
+  /// request is open.
   outputs request_notes(time_point now);
 
   /// Sends reports about backend servers to another daemon.
@@ -260,6 +271,12 @@
     time_point nack_at;
     time_point expires_at;
   };
+  /// Notes that a member of the distribution tree holds.
+  struct offer {
+    note_version version = 0;
+    std::string from;
+    std::string root;
+  };
   struct queued_update {
     std::string id;
     std::uint32_t remaining_sends = 0;
@@ -280,6 +297,8 @@
                           const message& received);
   void request_notes_from(time_point now, outputs& out,
                           const member_record& member);
+  void take_offer(const message& received);
+  void request_offered(time_point now, outputs& out);
   void on_ping_req(time_point now, outputs& out, const message& received);
   void on_ack(time_point now, outputs& out, const message& received);
   void on_join(time_point now, outputs& out, const message& received);
@@ -326,8 +345,16 @@
   /// The version before `version_`, which other daemons most likely hold.
   note_version previous_version_ = 0;
   std::uint64_t digest_ = 0;
-  /// No notes are requested before this time.
+  /// No notes are requested before this time, unless the member that was asked
+  /// last answers.
   time_point next_notes_request_{};
+  std::string requested_from_;
+  /// Whether `request_notes` asks a member of another data centre next.
+  bool request_far_next_ = false;
+  /// Since when this daemon knows that it lacks notes.
+  std::optional<time_point> behind_since_;
+  /// The latest notes that were offered to this daemon.
+  std::optional<offer> offer_;
 };
 
 }  // namespace medlarloft::membership
--- a/packages/membership/src/spreading.cpp
+++ b/packages/membership/src/spreading.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <numeric>
 #include <set>
 
 #include "medlarloft/membership.hpp"
@@ -48,12 +49,15 @@
     }
     case message_kind::notes:
       on_notes(out, received);
+      if (received.root.empty() && received.from == requested_from_)
+        next_notes_request_ = {};
       break;
     case message_kind::server_reports:
       out.server_reports = received.server_reports;
       break;
   }
   check_note_version(now, out, received);
+  if (received.notes.empty()) request_offered(now, out);
   return out;
 }
 
@@ -68,17 +72,29 @@
   out.messages.push_back({sender->control, sender->id, std::move(body)});
 }
 
+// Requested notes are forwarded along the tree in which they were offered.
 void group::on_notes(outputs& out, const message& received) {
   if (received.notes.empty()) return;
+  const bool offered = offer_ && offer_->version <= received.version;
+  const std::string& root =
+      received.root.empty() && offered ? offer_->root : received.root;
   out.notes.push_back({.from = received.from,
-                       .root = received.root,
+                       .root = root,
                        .chain = received.notes,
                        .digest = received.digest});
 }
 
+void group::take_offer(const message& received) {
+  if (offer_ && received.version < offer_->version) return;
+  offer_ = {.version = received.version,
+            .from = received.from,
+            .root = received.root};
+}
+
 // Anti-entropy: a daemon that receives a newer version in any message requests
-// the notes that it lacks. Notes whose base is newer than its own version don't
-// help: an earlier message to it was lost.
+// the notes that it lacks, unless they are likely to be on their way. Notes
+// whose base is newer than its own version don't help: an earlier message to it
+// was lost.
 void group::check_note_version(time_point now, outputs& out,
                                const message& received) {
   if (received.version == version_ && version_ != 0 &&
@@ -89,6 +105,11 @@
   const bool usable_notes =
       !received.notes.empty() && received.notes.front().base <= version_;
   if (received.version <= version_ || usable_notes) return;
+  if (!behind_since_) behind_since_ = now;
+  const bool offered = received.kind == message_kind::notes &&
+                       received.notes.empty() && !received.root.empty();
+  if (offered) take_offer(received);
+  if (offered || now < *behind_since_ + options_.repair_delay) return;
   const member_record* sender = find(received.from);
   if (sender != nullptr) request_notes_from(now, out, *sender);
 }
@@ -97,14 +118,16 @@
 void group::request_notes_from(time_point now, outputs& out,
                                const member_record& member) {
   if (now < next_notes_request_) return;
-  next_notes_request_ = now + options_.probe_timeout;
+  next_notes_request_ = now + options_.notes_timeout;
+  requested_from_ = member.id;
   out.messages.push_back(
       {member.control, member.id, make_message(message_kind::notes_request)});
 }
 
 outputs group::request_notes(time_point now) {
   outputs out;
-  next_notes_request_ = now;
+  // What was requested may still be on its way.
+  if (now < next_notes_request_) return out;
   std::vector<const member_record*> near;
   std::vector<const member_record*> far;
   for (const auto& [id, known] : members_) {
@@ -112,34 +135,41 @@
     const bool same_centre = known.record.data_centre == self_.data_centre;
     (same_centre ? near : far).push_back(&known.record);
   }
-  for (auto* candidates : {&near, &far}) {
-    if (candidates->empty()) continue;
-    // The members' order in the map depends on the library.
-    std::ranges::sort(*candidates, {}, [](const auto* r) { return r->id; });
-    const member_record& chosen =
-        *(*candidates)[random_.below(candidates->size())];
-    out.messages.push_back(
-        {chosen.control, chosen.id, make_message(message_kind::notes_request)});
-  }
+  request_far_next_ = !request_far_next_;
+  const bool ask_far = near.empty() || (!request_far_next_ && !far.empty());
+  auto& candidates = ask_far ? far : near;
+  if (candidates.empty()) return out;
+  // The members' order in the map depends on the library.
+  std::ranges::sort(candidates, {}, [](const auto* r) { return r->id; });
+  request_notes_from(now, out, *candidates[random_.below(candidates.size())]);
   return out;
 }
 
-outputs group::set_note(time_point /*now*/, note_version version,
+outputs group::set_note(time_point now, note_version version,
                         std::uint64_t digest, const std::string& root,
                         bool read_from_store) {
   outputs out;
   if (version != version_) {
     previous_version_ = version_;
     next_notes_request_ = {};
+    behind_since_.reset();
   }
   version_ = version;
   digest_ = digest;
   // The receivers most likely hold the previous version.
   if (!root.empty())
     send_to_tree(out, root, read_from_store, notes_reader_(previous_version_));
+  request_offered(now, out);
   return out;
 }
 
+// Notes may have been offered while others were requested.
+void group::request_offered(time_point now, outputs& out) {
+  if (!offer_ || offer_->version <= version_) return;
+  const member_record* member = find(offer_->from);
+  if (member != nullptr) request_notes_from(now, out, *member);
+}
+
 outputs group::broadcast_status(const std::string& root, bool read_from_store) {
   outputs out;
   send_to_tree(out, root, read_from_store, {});
@@ -189,11 +219,15 @@
 void group::send_to_tree(outputs& out, const std::string& root,
                          bool read_from_store,
                          const std::vector<notes::release_note>& chain) {
+  const auto bytes = std::accumulate(
+      chain.begin(), chain.end(), std::size_t{0},
+      [](std::size_t sum, const auto& note) { return sum + note.text.size(); });
+  const bool push = bytes <= options_.max_pushed_bytes;
   for (const std::string& id : tree_targets(root, read_from_store)) {
     const member_record* record = find(id);
     if (record == nullptr) continue;
     message body = make_message(message_kind::notes);
-    body.notes = chain;
+    if (push) body.notes = chain;
     // A receiver in another data centre is the root of the tree there.
     const bool same_centre = record->data_centre == self_.data_centre;
     body.root = same_centre ? root : id;
--- a/packages/server/src/control.cpp
+++ b/packages/server/src/control.cpp
@@ -25,6 +25,7 @@
           .seeds = values.control.seeds,
           .probe_period = values.control.probe_period,
           .probe_timeout = values.control.probe_timeout,
+          .notes_timeout = values.control.probe_timeout,
           .random_seed = hash_combine(started, hash64(values.id))};
 }
 
--- a/packages/tier/src/change_distribution.cpp
+++ b/packages/tier/src/change_distribution.cpp
@@ -11,6 +11,14 @@
 /// How long messages may be delivered late after a pause.
 constexpr duration late_delivery_time = std::chrono::seconds(1);
 
+/// Larger changes, such as a configuration of hundreds of routes, take longer
+/// than a round trip, so that copies of them would delay the first one.
+constexpr std::size_t max_pushed_bytes = std::size_t{16} << 10;
+/// How long changes usually take down the tree.
+constexpr duration repair_delay = std::chrono::milliseconds(300);
+/// How long the largest changes take from one daemon to another.
+constexpr duration notes_timeout = std::chrono::milliseconds(1000);
+
 /// Base of a note that holds a full listing instead of changes.
 constexpr notes::note_version listing_base = 0;
 
@@ -22,6 +30,14 @@
            .text = encode_changes(delta.changes)}};
 }
 
+// Sets how the group distributes and repairs large changes.
+membership::group_options with_repair(membership::group_options group) {
+  group.max_pushed_bytes = max_pushed_bytes;
+  group.repair_delay = repair_delay;
+  group.notes_timeout = notes_timeout;
+  return group;
+}
+
 }  // namespace
 
 change_distribution::change_distribution(options settings, hooks callbacks)
@@ -29,9 +45,10 @@
       data_centre_(settings.group.self.data_centre),
       hooks_(std::move(callbacks)),
       readers_(settings.readers, settings.started_at),
-      members_(std::move(settings.group), [this](notes::note_version from) {
-        return make_notes(hooks_.changes_since(from), from);
-      }) {}
+      members_(with_repair(std::move(settings.group)),
+               [this](notes::note_version from) {
+                 return make_notes(hooks_.changes_since(from), from);
+               }) {}
 
 change_distribution::outputs change_distribution::start(time_point now) {
   outputs out;
