--- a/packages/tier/tests/change_distribution_test.cpp
+++ b/packages/tier/tests/change_distribution_test.cpp
@@ -150,7 +150,7 @@
 // for it again while it was on its way: the repeated transfers took longer than
 // the first ones, and delayed them beyond the limit.
 TEST(change_distribution, a_large_change_is_sent_about_once_to_each_daemon) {
-  constexpr std::size_t bytes = 720 * 1024;
+  constexpr std::size_t bytes = std::size_t{720} << 10;
   constexpr int changes = 5;
   const propagation_limits limits{.leaf_leaves = seconds(5),
                                   .configuration = seconds(5)};
--- a/packages/tier/tests/quota_calculator_test.cpp
+++ b/packages/tier/tests/quota_calculator_test.cpp
@@ -53,6 +53,22 @@
   EXPECT_EQ(quota.daemon_count(), 9U);
 }
 
+// Daemons that a cut hides from this one may still send to the leafs: each side
+// would take the whole of a rate that a leaf states.
+TEST(quota_calculator, a_rate_is_divided_by_the_largest_recent_fleet) {
+  using std::chrono::seconds;
+  quota_calculator quota = quota_of(250, std::vector<std::uint32_t>(20, 250));
+  quota.remove_expired(start);
+  EXPECT_DOUBLE_EQ(quota.rate_fraction(), 1.0 / 20);
+  quota.set_reachable(start + seconds(30), "d0", 250);
+  quota.remove_expired(start + seconds(30));
+  EXPECT_EQ(quota.daemon_count(), 1U);
+  EXPECT_DOUBLE_EQ(quota.rate_fraction(), 1.0 / 20);
+  quota.set_reachable(start + seconds(61), "d0", 250);
+  quota.remove_expired(start + seconds(61));
+  EXPECT_DOUBLE_EQ(quota.rate_fraction(), 1.0 / 8);
+}
+
 TEST(quota_calculator, the_fractions_of_all_daemons_add_up_to_one_at_most) {
   EXPECT_TRUE(rc::check([](const std::vector<std::uint16_t>& samples) {
     std::vector<std::uint32_t> capacities;
