tier: a transfer between daemons that outlives the process's end

Callers saw nothing: a daemon that had finished its planned stop ended with code 6 (double free) instead of 0. Cause: io_context is destroyed after the timer queue, and destroys the pending reads of peer_link, whose destructors cancelled a timer in the queue that was gone. Class: what pending operations own is destroyed after what it refers to. Elsewhere: no other destructor that a pending operation runs uses the timers.

--- a/packages/tier/src/peer_link.cpp
+++ b/packages/tier/src/peer_link.cpp
@@ -29,10 +29,8 @@
       : owner(std::move(link)), socket(std::move(peer_socket)) {
     ++owner->incoming_count_;
   }
-  ~incoming() {
-    owner->timers_.cancel(timer);
-    --owner->incoming_count_;
-  }
+  // The timer stays: pending operations are destroyed after the timer queue.
+  ~incoming() { --owner->incoming_count_; }
   incoming(const incoming&) = delete;
   incoming& operator=(const incoming&) = delete;
 
@@ -46,6 +44,7 @@
     asio::async_read(
         socket, asio::dynamic_buffer(bytes, max_message_bytes),
         [self = shared_from_this()](const error_code& error, std::size_t) {
+          self->owner->timers_.cancel(self->timer);
           if (error == asio::error::eof)
             self->owner->handle_message(self->bytes);
         });
@@ -63,7 +62,7 @@
       : owner(std::move(link)),
         socket(owner->loop_),
         bytes(std::move(message)) {}
-  ~outgoing() { owner->timers_.cancel(timer); }
+  ~outgoing() = default;
   outgoing(const outgoing&) = delete;
   outgoing& operator=(const outgoing&) = delete;
 
@@ -76,13 +75,18 @@
     });
     socket.async_connect(to,
                          [self = shared_from_this()](const error_code& error) {
-                           if (!error) self->write();
+                           if (error) {
+                             self->owner->timers_.cancel(self->timer);
+                           } else {
+                             self->write();
+                           }
                          });
   }
   void write() {
     asio::async_write(
         socket, asio::buffer(bytes),
         [self = shared_from_this()](const error_code& error, std::size_t) {
+          self->owner->timers_.cancel(self->timer);
           error_code ignored;
           if (!error) {
             self->socket.shutdown(tcp::socket::shutdown_send, ignored);
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -22,6 +22,15 @@
 /// Number of events of ten that are planned work.
 constexpr std::uint64_t planned_events_of_ten = 4;
 
+/// Leafs that state a limit, in requests per second, or leave, and pauses.
+constexpr std::uint64_t max_rate_limit = 20;
+constexpr int limited_leafs = 3;
+constexpr int pauses = 3;
+constexpr int leaving_leafs = 2;
+/// How long a leaf turns requests away, and the pause that it asks for.
+constexpr duration busy_time = milliseconds(600);
+constexpr duration requested_pause = milliseconds(1800);
+
 /// Distinguish the generators of faults that were added later.
 constexpr std::uint64_t peer_random_id = 2;
 constexpr std::uint64_t endless_random_id = 3;
@@ -281,10 +290,6 @@
 }
 
 void fault_plan::schedule_statements() {
-  constexpr std::uint64_t max_rate_limit = 20;
-  constexpr int limited_leafs = 3;
-  constexpr int pauses = 3;
-  constexpr int leaving_leafs = 2;
   const std::size_t count = deployment_.leafs().size();
   const auto draw_time = [this] {
     return options_.window_begin +
@@ -297,7 +302,7 @@
     schedule(options_.window_begin, [this, leaf, limit] {
       standins::leaf& limited = *deployment_.leafs()[leaf];
       log_("limit " + limited.settings().id + " " + std::to_string(limit));
-      limited.set_statement({.rate_limit = limit});
+      limited.set_rate_limit(limit);
     });
   }
   for (int i = 0; i < pauses; ++i)
@@ -308,14 +313,13 @@
 
 // The leaf turns requests away for a while, with a longer pause.
 void fault_plan::schedule_pause(std::size_t leaf, duration when) {
-  constexpr duration busy_time = milliseconds(600);
-  constexpr duration pause = milliseconds(1800);
   schedule(when, [this, leaf] {
     log_("pause " + deployment_.leafs()[leaf]->settings().id);
-    deployment_.leafs()[leaf]->set_statement({.pause = pause});
+    deployment_.leafs()[leaf]->set_pause(requested_pause);
+  });
+  schedule(when + busy_time, [this, leaf] {
+    deployment_.leafs()[leaf]->set_pause(std::nullopt);
   });
-  schedule(when + busy_time,
-           [this, leaf] { deployment_.leafs()[leaf]->set_statement({}); });
 }
 
 // The record of the leaf says that it is ready until it ends.
@@ -323,7 +327,7 @@
   schedule(when, [this, leaf] {
     standins::leaf& leaving = *deployment_.leafs()[leaf];
     log_("leaving " + leaving.settings().id);
-    leaving.set_statement({.leaving = true});
+    leaving.set_leaving();
     timers_.after(leaf_stop_delay, [this, leaf] { replace_leaf(leaf); });
   });
 }
