--- a/packages/fanout/src/execution.cpp
+++ b/packages/fanout/src/execution.cpp
@@ -163,8 +163,8 @@
   }
 }
 
-// Limited leafs take their next request at a known time, so that waiting for
-// one that comes too late is no use.
+// The next turn of paused and limited leafs is known, so that waiting for one
+// that comes too late is no use.
 bool execution::should_wait(time_point now, std::size_t index,
                             unavailable_reason reason) const {
   if (!leafs::is_temporary(reason) || !shards_[index].open_attempts.empty())
--- a/packages/http/tests/connection_test.cpp
+++ b/packages/http/tests/connection_test.cpp
@@ -166,7 +166,7 @@
 // that ends with its connection.
 TEST_F(connection_test, a_response_that_ends_in_its_head_is_no_response) {
   const std::string head =
-      "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n";
+      "HTTP/1.1 200 OK\r\nX-Field: s\r\nContent-Length: 4\r\n\r\n";
   for (std::size_t length = 1; length <= head.size(); ++length) {
     SCOPED_TRACE(head.substr(0, length));
     leaf.responses = {head.substr(0, length)};
