http: a connection that fails at once is reported by the event loop

Cause: connection::open called its handler before it returned if the socket could not be opened or bound (no descriptor left). request_task::send then removed the attempt that it was still filling in, and wrote to it. Change: such a failure is posted to the event loop.

--- a/packages/http/include/medlarloft/http.hpp
+++ b/packages/http/include/medlarloft/http.hpp
@@ -206,6 +206,7 @@
                                           options settings);
   virtual ~connection() = default;
 
+  /// `on_open` is called by the event loop, never by this function.
   virtual void open(open_handler on_open) = 0;
   /// Sends a serialized request and waits for its response. The response to
   /// the method HEAD is read without a body. Without a matcher, the first
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <cerrno>
 #include <charconv>
@@ -133,7 +134,9 @@
     if (!error) socket_.bind({from, 0}, error);
   }
   if (error) {
-    on_open(false, duration::zero());
+    asio::post(socket_.get_executor(), [on_open = std::move(on_open)] {
+      on_open(false, duration::zero());
+    });
     return;
   }
   socket_.set_option(tcp::no_delay(true), error);
--- a/packages/http/tests/connection_test.cpp
+++ b/packages/http/tests/connection_test.cpp
@@ -58,6 +58,18 @@
   EXPECT_EQ(leaf.connections, 1);
 }
 
+// A connection that fails at once, for example without a free descriptor, ended
+// the request in the middle of being sent, and its owner wrote to freed memory.
+TEST_F(connection_test, reports_an_immediate_failure_from_the_event_loop) {
+  const auto client = connection::make(
+      loop, timers, {.to = leaf.address(), .from_ip = "no address"});
+  std::optional<bool> opened;
+  client->open([&opened](bool ok, duration) { opened = ok; });
+  EXPECT_FALSE(opened);
+  EXPECT_TRUE(run_until(loop, [&opened] { return opened.has_value(); }));
+  EXPECT_FALSE(opened.value_or(true));
+}
+
 TEST_F(connection_test, reads_a_chunked_body) {
   leaf.responses = {
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
