tier: the log of an attempt names its connection

Cause: with review/1 (REFUSED) the log shows two attempts that a leaf rejected, but not whether the second rejection came over the connection of the first one. Change: connections to leafs are numbered; field connection of attempt.

--- a/packages/tier/src/connection_pool.cpp
+++ b/packages/tier/src/connection_pool.cpp
@@ -27,7 +27,7 @@
   *alive_ = false;
   for (auto& [leaf, connections] : idle_)
     for (idle_connection& idle : connections)
-      idle.connection->close();
+      idle.open.connection->close();
 }
 
 void connection_pool::call::close() {
@@ -39,21 +39,23 @@
     std::function<std::string()> make_text, std::string method,
     http::connection::response_matcher is_response, completion_handler done) {
   call new_call;
-  if (connection_ptr reused = take_idle(leaf)) {
-    new_call.connection_ = reused;
-    send_on(leaf, reused, make_text, method, std::move(is_response),
+  if (const auto reused = take_idle(leaf)) {
+    new_call.connection_ = reused->connection;
+    new_call.id_ = reused->id;
+    send_on(leaf, *reused, make_text, method, std::move(is_response),
             std::move(done));
     return new_call;
   }
-  const connection_ptr new_connection = http::connection::make(
-      loop_, timers_,
-      {.to = to, .from_ip = from_ip_, .memory = response_memory_});
-  new_call.connection_ = new_connection;
-  ++opened_;
-  new_connection->open(
-      [this, alive = alive_, leaf, new_connection,
-       make_text = std::move(make_text), method = std::move(method),
-       is_response = std::move(is_response),
+  const leaf_connection opening{
+      .id = ++opened_,
+      .connection = http::connection::make(
+          loop_, timers_,
+          {.to = to, .from_ip = from_ip_, .memory = response_memory_})};
+  new_call.connection_ = opening.connection;
+  new_call.id_ = opening.id;
+  opening.connection->open(
+      [this, alive = alive_, leaf, opening, make_text = std::move(make_text),
+       method = std::move(method), is_response = std::move(is_response),
        done = std::move(done)](bool ok, duration connect_time) mutable {
         if (!*alive) return;
         if (!ok) {
@@ -61,65 +63,65 @@
           return;
         }
         hooks_.on_connected(leaf, connect_time);
-        send_on(leaf, new_connection, make_text, method, std::move(is_response),
+        send_on(leaf, opening, make_text, method, std::move(is_response),
                 std::move(done));
       });
   return new_call;
 }
 
-connection_pool::connection_ptr connection_pool::take_idle(
+std::optional<connection_pool::leaf_connection> connection_pool::take_idle(
     leafs::leaf_handle leaf) {
   const auto found = idle_.find(leaf);
-  if (found == idle_.end()) return nullptr;
+  if (found == idle_.end()) return std::nullopt;
   const time_point now = steady_clock::now();
   std::vector<idle_connection>& connections = found->second;
   while (!connections.empty()) {
-    idle_connection newest = std::move(connections.back());
+    const idle_connection newest = std::move(connections.back());
     connections.pop_back();
-    newest.connection->on_idle_close(nullptr);
-    if (now < newest.expires_at && newest.connection->usable()) {
-      return newest.connection;
+    newest.open.connection->on_idle_close(nullptr);
+    if (now < newest.expires_at && newest.open.connection->usable()) {
+      return newest.open;
     }
-    newest.connection->close();
+    newest.open.connection->close();
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 void connection_pool::send_on(leafs::leaf_handle leaf,
-                              const connection_ptr& connection,
+                              const leaf_connection& to,
                               const std::function<std::string()>& make_text,
                               const std::string& method,
                               http::connection::response_matcher is_response,
                               completion_handler done) {
-  connection->send_request(
+  to.connection->send_request(
       make_text(), method, std::move(is_response),
-      [this, alive = alive_, leaf, weak = std::weak_ptr(connection),
+      [this, alive = alive_, leaf, id = to.id,
+       weak = std::weak_ptr(to.connection),
        done = std::move(done)](http::response_result result) {
         if (!*alive) return;
-        const connection_ptr open = weak.lock();
+        const auto open = weak.lock();
         if (open && result && result.value().reusable) {
-          add_idle(leaf, open, result.value().keep_alive_timeout);
+          add_idle(leaf, {.id = id, .connection = open},
+                   result.value().keep_alive_timeout);
         }
         done({.response = std::move(result)});
       });
 }
 
-void connection_pool::add_idle(leafs::leaf_handle leaf,
-                               const connection_ptr& connection,
+void connection_pool::add_idle(leafs::leaf_handle leaf, leaf_connection open,
                                std::optional<duration> idle_limit) {
   const duration limit = idle_limit.value_or(default_idle_limit);
   const duration reusable_for = std::max(limit - close_margin, limit / 2);
-  connection->on_idle_close(
-      [this, alive = alive_, leaf, which = connection.get()] {
-        if (*alive) remove_idle(leaf, which);
-      });
-  idle_[leaf].push_back({connection, steady_clock::now() + reusable_for});
+  open.connection->on_idle_close([this, alive = alive_, leaf, id = open.id] {
+    if (*alive) remove_idle(leaf, id);
+  });
+  idle_[leaf].push_back({std::move(open), steady_clock::now() + reusable_for});
 }
 
 void connection_pool::remove_idle(leafs::leaf_handle leaf,
-                                  const http::connection* connection) {
-  std::erase_if(idle_[leaf], [connection](const idle_connection& entry) {
-    return entry.connection.get() == connection;
+                                  connection_id which) {
+  std::erase_if(idle_[leaf], [which](const idle_connection& entry) {
+    return entry.open.id == which;
   });
 }
 
@@ -130,7 +132,7 @@
     std::erase_if(
         connections, [now, leaf_in_use](const idle_connection& entry) {
           const bool expired = !leaf_in_use || now >= entry.expires_at;
-          if (expired) entry.connection->close();
+          if (expired) entry.open.connection->close();
           return expired;
         });
   }
--- a/packages/tier/src/connection_pool.hpp
+++ b/packages/tier/src/connection_pool.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -21,6 +22,9 @@
   http::response_result response{http::response_errc::connection_lost};
 };
 
+/// Identifies a connection to a leaf; never reused within a process.
+using connection_id = std::uint64_t;
+
 class connection_pool {
  public:
   struct hooks {
@@ -33,10 +37,12 @@
   class call {
    public:
     void close();
+    connection_id connection() const noexcept { return id_; }
 
    private:
     friend class connection_pool;
     std::weak_ptr<http::connection> connection_;
+    connection_id id_ = 0;
   };
 
   struct options {
@@ -68,21 +74,24 @@
   std::size_t idle() const;
 
  private:
-  using connection_ptr = std::shared_ptr<http::connection>;
+  struct leaf_connection {
+    connection_id id = 0;
+    std::shared_ptr<http::connection> connection;
+  };
   struct idle_connection {
-    connection_ptr connection;
+    leaf_connection open;
     time_point expires_at;
   };
 
-  connection_ptr take_idle(leafs::leaf_handle leaf);
-  void send_on(leafs::leaf_handle leaf, const connection_ptr& connection,
+  std::optional<leaf_connection> take_idle(leafs::leaf_handle leaf);
+  void send_on(leafs::leaf_handle leaf, const leaf_connection& to,
                const std::function<std::string()>& make_text,
                const std::string& method,
                http::connection::response_matcher is_response,
                completion_handler done);
-  void add_idle(leafs::leaf_handle leaf, const connection_ptr& connection,
+  void add_idle(leafs::leaf_handle leaf, leaf_connection open,
                 std::optional<duration> idle_limit);
-  void remove_idle(leafs::leaf_handle leaf, const http::connection* connection);
+  void remove_idle(leafs::leaf_handle leaf, connection_id which);
 
   http::io_context& loop_;
   loop::timer_queue& timers_;
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -199,13 +199,6 @@
   if (action.kind == fanout::attempt_kind::retry) {
     context_.metrics.increment(counter::retries);
   }
-  attempt_log_.push_back({.attempt = action.attempt,
-                          .shard = action.shard,
-                          .leaf = action.leaf,
-                          .kind = action.kind,
-                          .sent_at = now,
-                          .expected_time = context_.leafs.expected_time(
-                              now, action.leaf, route_.name)});
   open_attempt& open = open_attempts_[action.attempt];
   open.leaf = action.leaf;
   open.sent_at = now;
@@ -226,6 +219,14 @@
        attempt = action.attempt](pool_result result) {
         self->on_attempt_ended(attempt, std::move(result));
       });
+  attempt_log_.push_back({.attempt = action.attempt,
+                          .shard = action.shard,
+                          .leaf = action.leaf,
+                          .connection = open.call.connection(),
+                          .kind = action.kind,
+                          .sent_at = now,
+                          .expected_time = context_.leafs.expected_time(
+                              now, action.leaf, route_.name)});
 }
 
 void request_task::abandon(const fanout::abandon_action& action) {
@@ -410,6 +411,7 @@
                   {"kind", fanout::name_of(attempt.kind)},
                   {"leaf", leaf.id},
                   {"data_centre", leaf.data_centre},
+                  {"connection", attempt.connection},
                   {"sent_after", to_whole_us(attempt.sent_at - received_at_)},
                   {"expected", to_whole_us(attempt.expected_time)},
                   {"ending", attempt.outcome ? leafs::name_of(*attempt.outcome)
