--- a/packages/tier/src/connection_pool.cpp
+++ b/packages/tier/src/connection_pool.cpp
@@ -34,16 +34,15 @@
   if (const auto open = connection_.lock()) open->close();
 }
 
-connection_pool::call connection_pool::send(
-    leafs::leaf_handle leaf, const endpoint& to,
-    std::function<std::string()> make_text, std::string method,
-    http::connection::response_matcher is_response, completion_handler done) {
+connection_pool::call connection_pool::send(leafs::leaf_handle leaf,
+                                            const endpoint& to,
+                                            request outgoing,
+                                            completion_handler done) {
   call new_call;
-  if (const auto reused = take_idle(leaf)) {
+  if (const auto reused = take_idle(leaf, outgoing.carried_by)) {
     new_call.connection_ = reused->connection;
     new_call.id_ = reused->id;
-    send_on(leaf, *reused, make_text, method, std::move(is_response),
-            std::move(done));
+    send_on(leaf, *reused, std::move(outgoing), std::move(done));
     return new_call;
   }
   const leaf_connection opening{
@@ -54,8 +53,7 @@
   new_call.connection_ = opening.connection;
   new_call.id_ = opening.id;
   opening.connection->open(
-      [this, alive = alive_, leaf, opening, make_text = std::move(make_text),
-       method = std::move(method), is_response = std::move(is_response),
+      [this, alive = alive_, leaf, opening, outgoing = std::move(outgoing),
        done = std::move(done)](bool ok, duration connect_time) mutable {
         if (!*alive) return;
         if (!ok) {
@@ -63,38 +61,40 @@
           return;
         }
         hooks_.on_connected(leaf, connect_time);
-        send_on(leaf, opening, make_text, method, std::move(is_response),
-                std::move(done));
+        send_on(leaf, opening, std::move(outgoing), std::move(done));
       });
   return new_call;
 }
 
 std::optional<connection_pool::leaf_connection> connection_pool::take_idle(
-    leafs::leaf_handle leaf) {
+    leafs::leaf_handle leaf, const std::vector<connection_id>& carried_by) {
   const auto found = idle_.find(leaf);
   if (found == idle_.end()) return std::nullopt;
-  const time_point now = steady_clock::now();
   std::vector<idle_connection>& connections = found->second;
+  const auto carried = [&carried_by](const idle_connection& each) {
+    return std::ranges::find(carried_by, each.open.id) != carried_by.end();
+  };
+  // The newest is taken, which is the last one.
+  if (!carried_by.empty()) std::ranges::stable_partition(connections, carried);
+  const time_point now = steady_clock::now();
   while (!connections.empty()) {
     const idle_connection newest = std::move(connections.back());
     connections.pop_back();
     newest.open.connection->on_idle_close(nullptr);
-    if (now < newest.expires_at && newest.open.connection->usable()) {
-      return newest.open;
-    }
+    const bool fits = now < newest.expires_at && !carried(newest);
+    if (fits && newest.open.connection->usable()) return newest.open;
     newest.open.connection->close();
+    // The connection that is opened instead takes the place of this one.
+    if (carried(newest)) break;
   }
   return std::nullopt;
 }
 
 void connection_pool::send_on(leafs::leaf_handle leaf,
-                              const leaf_connection& to,
-                              const std::function<std::string()>& make_text,
-                              const std::string& method,
-                              http::connection::response_matcher is_response,
+                              const leaf_connection& to, request outgoing,
                               completion_handler done) {
   to.connection->send_request(
-      make_text(), method, std::move(is_response),
+      outgoing.make_text(), outgoing.method, std::move(outgoing.is_response),
       [this, alive = alive_, leaf, id = to.id,
        weak = std::weak_ptr(to.connection),
        done = std::move(done)](http::response_result result) {
--- a/packages/tier/src/connection_pool.hpp
+++ b/packages/tier/src/connection_pool.hpp
@@ -58,11 +58,22 @@
   connection_pool(const connection_pool&) = delete;
   connection_pool& operator=(const connection_pool&) = delete;
 
-  /// Sends a request on an idle connection or a new one. `make_text` is called
-  /// once the connection is established.
-  call send(leafs::leaf_handle leaf, const endpoint& to,
-            std::function<std::string()> make_text, std::string method,
-            http::connection::response_matcher is_response,
+  /// A request to a leaf.
+  struct request {
+    /// Serializes the request; called once its connection is established.
+    std::function<std::string()> make_text;
+    std::string method;
+    http::connection::response_matcher is_response;
+    /// Connections on which this request was sent before. A response names its
+    /// request and not the send, so that a late copy of the earlier response
+    /// would pass for the response to this send.
+    std::vector<connection_id> carried_by;
+  };
+
+  /// Sends a request on an idle connection or a new one, but on none that
+  /// carried it before. `done` is called by the event loop, never by this
+  /// function.
+  call send(leafs::leaf_handle leaf, const endpoint& to, request outgoing,
             completion_handler done);
 
   /// Closes connections that were idle for too long, and those to leafs for
@@ -83,12 +94,10 @@
     time_point expires_at;
   };
 
-  std::optional<leaf_connection> take_idle(leafs::leaf_handle leaf);
+  std::optional<leaf_connection> take_idle(
+      leafs::leaf_handle leaf, const std::vector<connection_id>& carried_by);
   void send_on(leafs::leaf_handle leaf, const leaf_connection& to,
-               const std::function<std::string()>& make_text,
-               const std::string& method,
-               http::connection::response_matcher is_response,
-               completion_handler done);
+               request outgoing, completion_handler done);
   void add_idle(leafs::leaf_handle leaf, leaf_connection open,
                 std::optional<duration> idle_limit);
   void remove_idle(leafs::leaf_handle leaf, connection_id which);
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -188,6 +188,14 @@
   perform(execution_.on_timer(steady_clock::now()));
 }
 
+std::vector<connection_id> request_task::connections_to(
+    leafs::leaf_handle leaf) const {
+  std::vector<connection_id> connections;
+  for (const attempt_record& earlier : attempt_log_)
+    if (earlier.leaf == leaf) connections.push_back(earlier.connection);
+  return connections;
+}
+
 void request_task::send(const fanout::send_action& action) {
   const time_point now = steady_clock::now();
   const leafs::leaf_registration to = *context_.leafs.find(action.leaf);
@@ -204,17 +212,21 @@
   open.sent_at = now;
   open.call = context_.pool.send(
       action.leaf, to.address,
-      [self = shared_from_this(), to] {
-        const duration remaining = self->caller_deadline_ - steady_clock::now();
-        return http::serialize_request(
-            self->leaf_request_,
-            self->context_.platform.make_leaf_headers(to, remaining));
-      },
-      exchange_->request().method,
-      [self = shared_from_this()](const http::message& response) {
-        return self->context_.platform.match_response(
-            response, self->metadata_.request_id);
-      },
+      {.make_text =
+           [self = shared_from_this(), to] {
+             const duration remaining =
+                 self->caller_deadline_ - steady_clock::now();
+             return http::serialize_request(
+                 self->leaf_request_,
+                 self->context_.platform.make_leaf_headers(to, remaining));
+           },
+       .method = exchange_->request().method,
+       .is_response =
+           [self = shared_from_this()](const http::message& response) {
+             return self->context_.platform.match_response(
+                 response, self->metadata_.request_id);
+           },
+       .carried_by = connections_to(action.leaf)},
       [self = shared_from_this(),
        attempt = action.attempt](pool_result result) {
         self->on_attempt_ended(attempt, std::move(result));
--- a/packages/tier/src/request_task.hpp
+++ b/packages/tier/src/request_task.hpp
@@ -77,6 +77,8 @@
   void update_wait_queues(const fanout::actions& actions);
   void perform(fanout::actions actions);
   void send(const fanout::send_action& action);
+  /// Returns the connections on which this request was sent to the leaf.
+  std::vector<connection_id> connections_to(leafs::leaf_handle leaf) const;
   void abandon(const fanout::abandon_action& action);
   void on_attempt_ended(leafs::attempt_id attempt, pool_result result);
   void apply_report(time_point now, const open_attempt& open,
