--- a/packages/leafs/include/medlarloft/leafs.hpp
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -157,6 +157,7 @@
   double slowness = 1;
 };
 
+class departed_leafs;
 class leaf_throttle;
 
 /// The leafs of all services and the requests in flight to them.
@@ -202,9 +203,11 @@
   leaf_set(options settings, std::uint64_t seed);
 
   /// Adds a leaf or updates its registration. A changed start, address or
-  /// service yields a new handle without the history of the old one.
+  /// service yields a new handle without the history of the old one. A start
+  /// whose registration was removed and returns has its history, and what the
+  /// leaf said of itself.
   leaf_handle put(time_point now, const leaf_registration& registration);
-  void remove(const std::string& id);
+  void remove(time_point now, const std::string& id);
   /// Sets the data centres that are out: their leafs get no requests.
   void set_data_centres_out(std::set<std::string> data_centres);
   void set_limits(const std::string& service, service_limits limits);
@@ -250,7 +253,8 @@
 
   void add_round_trip_sample(const std::string& data_centre, duration value);
 
-  const leaf_registration* find(leaf_handle leaf) const;
+  /// Returns nothing if the start departed long ago.
+  std::shared_ptr<const leaf_registration> find(leaf_handle leaf) const;
   /// Whether the leaf accepts new requests, ejected or not.
   bool usable(leaf_handle leaf) const;
   /// Returns how many connections this daemon may hold to each leaf of the
@@ -268,8 +272,8 @@
     std::string work_class;
   };
   struct leaf_state {
-    leaf_registration registration;
-    bool registered = true;
+    std::shared_ptr<const leaf_registration> registration;
+    bool registered = false;
     std::vector<open_attempt> open_attempts;
     double slowness = 1;
     time_point slowness_updated_at{};
@@ -280,6 +284,8 @@
     std::shared_ptr<leaf_throttle> throttle;
   };
 
+  leaf_handle add_leaf();
+  void forget_departed(time_point now);
   duration work_time(const std::string& work_class) const;
   duration round_trip(const leaf_state& leaf) const;
   double slowness(time_point now, const leaf_state& leaf) const;
@@ -301,7 +307,9 @@
 
   options options_;
   random_generator random_;
-  std::vector<leaf_state> leafs_;
+  /// By handle; null once a start is forgotten.
+  std::vector<std::unique_ptr<leaf_state>> leafs_;
+  std::shared_ptr<departed_leafs> departed_;
   std::unordered_map<std::string, leaf_handle> by_id_;
   std::unordered_map<std::string, std::vector<leaf_handle>> by_service_;
   std::unordered_map<std::string, service_limits> limits_;
--- a/packages/leafs/src/leaf_set.cpp
+++ b/packages/leafs/src/leaf_set.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <cmath>
 
+#include "departed_leafs.hpp"
 #include "leaf_throttle.hpp"
 #include "medlarloft/leafs.hpp"
 
@@ -44,44 +45,66 @@
 }  // namespace
 
 leaf_set::leaf_set(options settings, std::uint64_t seed)
-    : options_(std::move(settings)), random_(seed) {}
+    : options_(std::move(settings)),
+      random_(seed),
+      departed_(std::make_shared<departed_leafs>(departed_leafs::options{})) {}
 
 leaf_handle leaf_set::put(time_point now,
                           const leaf_registration& registration) {
   const auto found = by_id_.find(registration.id);
   if (found != by_id_.end()) {
-    leaf_state& known = leafs_[found->second];
-    const bool same = known.registration.start_id == registration.start_id &&
-                      known.registration.address == registration.address &&
-                      known.registration.service == registration.service;
-    if (same) {
-      known.registration = registration;
+    leaf_state& known = *leafs_[found->second];
+    if (same_start(*known.registration, registration)) {
+      known.registration =
+          std::make_shared<const leaf_registration>(registration);
       known.throttle->set_cold_until(now + registration.cold_time_left);
       return found->second;
     }
-    remove(registration.id);
+    remove(now, registration.id);
   }
-  const auto handle = static_cast<leaf_handle>(leafs_.size());
-  leafs_.push_back(
-      {.registration = registration,
-       .throttle = std::make_shared<leaf_throttle>(
-           leaf_throttle::options{.initial_ejection = options_.initial_ejection,
-                                  .max_ejection = options_.max_ejection,
-                                  .max_pause = options_.max_pause})});
-  leafs_.back().throttle->set_cold_until(now + registration.cold_time_left);
+  const auto departed = departed_->take(registration);
+  const leaf_handle handle = departed ? *departed : add_leaf();
+  leaf_state& leaf = *leafs_[handle];
+  leaf.registration = std::make_shared<const leaf_registration>(registration);
+  leaf.registered = true;
+  leaf.throttle->set_cold_until(now + registration.cold_time_left);
   by_id_[registration.id] = handle;
   by_service_[registration.service].push_back(handle);
-  set_cold_rate(now, leafs_.back());
+  set_cold_rate(now, leaf);
+  return handle;
+}
+
+leaf_handle leaf_set::add_leaf() {
+  const auto handle = static_cast<leaf_handle>(leafs_.size());
+  leafs_.push_back(std::make_unique<leaf_state>());
+  leafs_.back()->throttle = std::make_shared<leaf_throttle>(
+      leaf_throttle::options{.initial_ejection = options_.initial_ejection,
+                             .max_ejection = options_.max_ejection,
+                             .max_pause = options_.max_pause});
   return handle;
 }
 
-void leaf_set::remove(const std::string& id) {
+void leaf_set::remove(time_point now, const std::string& id) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
-  leaf_state& known = leafs_[found->second];
+  const leaf_handle handle = found->second;
+  leaf_state& known = *leafs_[handle];
   known.registered = false;
-  std::erase(by_service_[known.registration.service], found->second);
+  std::erase(by_service_[known.registration->service], handle);
   by_id_.erase(found);
+  departed_->add(now, handle, known.registration);
+  forget_departed(now);
+}
+
+void leaf_set::forget_departed(time_point now) {
+  for (const leaf_handle handle : departed_->take_expired(now)) {
+    leaf_state& leaf = *leafs_[handle];
+    if (leaf.open_attempts.empty()) {
+      leafs_[handle].reset();
+    } else {
+      departed_->add(now, handle, leaf.registration);
+    }
+  }
 }
 
 void leaf_set::set_data_centres_out(std::set<std::string> data_centres) {
@@ -91,7 +114,7 @@
 void leaf_set::set_limits(const std::string& service, service_limits limits) {
   limits_[service] = limits;
   for (const leaf_handle each : leafs_of(service))
-    set_cold_rate(steady_clock::time_point{}, leafs_[each]);
+    set_cold_rate(steady_clock::time_point{}, *leafs_[each]);
 }
 
 void leaf_set::set_quota(daemon_quota quota) {
@@ -101,18 +124,19 @@
 report_changes leaf_set::on_report(time_point now, leaf_handle handle,
                                    time_point sent_at,
                                    const leaf_report& report) {
+  if (!leafs_[handle]) return {};
   const auto own_rate = [this](double rate) {
     return std::max(rate, options_.min_rate_limit) * quota_.rate_fraction;
   };
-  return leafs_[handle].throttle->on_report(now, sent_at, report, own_rate,
-                                            random_.uniform());
+  return leafs_[handle]->throttle->on_report(now, sent_at, report, own_rate,
+                                             random_.uniform());
 }
 
 time_point leaf_set::earliest_turn(time_point now,
                                    const std::string& service) const {
   time_point earliest = time_point::max();
   for (const leaf_handle handle : leafs_of(service)) {
-    const leaf_state& leaf = leafs_[handle];
+    const leaf_state& leaf = *leafs_[handle];
     if (!accepts_requests(leaf)) continue;
     earliest = std::min(earliest, leaf.throttle->earliest_turn(now));
   }
@@ -123,7 +147,7 @@
 // holds one token at most, so that together they send at most `cold_burst`
 // requests at once.
 void leaf_set::set_cold_rate(time_point now, leaf_state& leaf) {
-  const auto limits = limits_.find(leaf.registration.service);
+  const auto limits = limits_.find(leaf.registration->service);
   const double rate =
       limits == limits_.end() ? 0.0 : limits->second.cold_rate_limit;
   const auto users = std::min<std::size_t>(quota_.daemons, options_.cold_burst);
@@ -150,7 +174,7 @@
 }
 
 duration leaf_set::round_trip(const leaf_state& leaf) const {
-  const std::string& data_centre = leaf.registration.data_centre;
+  const std::string& data_centre = leaf.registration->data_centre;
   if (data_centre == options_.local_data_centre) return duration::zero();
   const auto found = round_trips_.find(data_centre);
   return found == round_trips_.end() ? options_.default_remote_round_trip
@@ -175,12 +199,12 @@
 
 duration leaf_set::expected_time(time_point now, leaf_handle handle,
                                  const std::string& work_class) const {
-  return expected_leaf_time(now, leafs_[handle], work_class);
+  return expected_leaf_time(now, *leafs_[handle], work_class);
 }
 
 duration leaf_set::hedge_delay(time_point now, leaf_handle handle,
                                const std::string& work_class) const {
-  const leaf_state& leaf = leafs_[handle];
+  const leaf_state& leaf = *leafs_[handle];
   return std::max(scaled(work_time(work_class), options_.overdue_factor),
                   options_.overdue_floor) +
          round_trip(leaf) +
@@ -198,18 +222,18 @@
 }
 
 bool leaf_set::accepts_requests(const leaf_state& leaf) const {
-  return leaf.registered && !leaf.registration.draining &&
+  return leaf.registered && !leaf.registration->draining &&
          !leaf.throttle->leaving() &&
-         !data_centres_out_.contains(leaf.registration.data_centre);
+         !data_centres_out_.contains(leaf.registration->data_centre);
 }
 
 std::size_t leaf_set::max_in_flight(const leaf_state& leaf) const {
-  const double slots = options_.in_flight_per_slot * leaf.registration.slots;
+  const double slots = options_.in_flight_per_slot * leaf.registration->slots;
   const auto daemons =
       static_cast<double>(std::max<std::size_t>(quota_.daemons, 1));
   const auto fair_limit = static_cast<std::size_t>(std::ceil(slots / daemons));
   return std::min(std::max(fair_limit, options_.min_in_flight),
-                  connection_limit(leaf.registration.service));
+                  connection_limit(leaf.registration->service));
 }
 
 std::optional<unavailable_reason> leaf_set::leaf_unavailable_reason(
@@ -217,7 +241,7 @@
   if (!accepts_requests(leaf)) return unavailable_reason::none_registered;
   const bool may_use_cold =
       !leaf.throttle->cold(now) || !quota_.daemon_index ||
-      quota_.daemon_index(leaf.registration.id) < options_.cold_burst;
+      quota_.daemon_index(leaf.registration->id) < options_.cold_burst;
   return leaf.throttle->unavailable(now,
                                     {.in_flight = leaf.open_attempts.size(),
                                      .max_in_flight = max_in_flight(leaf),
@@ -229,13 +253,13 @@
   const duration base = work_time(work_class);
   const double load = load_factor *
                       static_cast<double>(leaf.open_attempts.size()) /
-                      std::max<std::uint32_t>(leaf.registration.slots, 1);
+                      std::max<std::uint32_t>(leaf.registration->slots, 1);
   duration total = scaled(base, slowness(now, leaf) * (1 + load));
   total += scaled(base, failure_cost * failure_rate(now, leaf));
   total += round_trip(leaf);
   if (overdue(now, leaf)) total += pause_cost + base;
   const double remote_factor =
-      leaf.registration.data_centre == options_.local_data_centre
+      leaf.registration->data_centre == options_.local_data_centre
           ? 1
           : remote_cost_factor;
   return std::chrono::duration<double>(total).count() * remote_factor;
@@ -250,7 +274,7 @@
   std::optional<leaf_handle> best;
   double best_cost = 0;
   for (const leaf_handle handle : candidates->second) {
-    const leaf_state& leaf = leafs_[handle];
+    const leaf_state& leaf = *leafs_[handle];
     if (!accepts_requests(leaf)) continue;
     const bool excluded =
         std::ranges::find(filter.excluded, handle) != filter.excluded.end();
@@ -279,7 +303,7 @@
     time_point now, const std::string& service) const {
   unavailable_reason reason = unavailable_reason::none_registered;
   for (const leaf_handle handle : leafs_of(service)) {
-    const auto unavailable = leaf_unavailable_reason(now, leafs_[handle]);
+    const auto unavailable = leaf_unavailable_reason(now, *leafs_[handle]);
     if (!unavailable) return std::nullopt;
     reason = std::max(reason, *unavailable);
   }
@@ -289,7 +313,7 @@
 void leaf_set::on_attempt_sent(time_point now, leaf_handle handle,
                                attempt_id attempt,
                                const std::string& work_class) {
-  leaf_state& leaf = leafs_[handle];
+  leaf_state& leaf = *leafs_[handle];
   leaf.open_attempts.push_back(
       {attempt, now, expected_leaf_time(now, leaf, work_class), work_class});
   leaf.throttle->on_sent(now);
@@ -297,7 +321,7 @@
 
 void leaf_set::on_attempt_ended(time_point now, leaf_handle handle,
                                 attempt_id attempt, attempt_outcome outcome) {
-  leaf_state& leaf = leafs_[handle];
+  leaf_state& leaf = *leafs_[handle];
   const auto found =
       std::ranges::find(leaf.open_attempts, attempt, &open_attempt::id);
   if (found == leaf.open_attempts.end()) return;
@@ -363,7 +387,7 @@
   double total_in_flight = 0;
   double completions_per_second = 0;
   for (const leaf_handle handle : found->second) {
-    const leaf_state& leaf = leafs_[handle];
+    const leaf_state& leaf = *leafs_[handle];
     const leaf_throttle& throttle = *leaf.throttle;
     const bool excluded =
         throttle.ejected() || throttle.cold(now) || throttle.paused(now);
@@ -388,19 +412,22 @@
   known += scaled(value - known, round_trip_weight);
 }
 
-const leaf_registration* leaf_set::find(leaf_handle handle) const {
-  return handle < leafs_.size() ? &leafs_[handle].registration : nullptr;
+std::shared_ptr<const leaf_registration> leaf_set::find(
+    leaf_handle handle) const {
+  const bool known = handle < leafs_.size() && leafs_[handle];
+  return known ? leafs_[handle]->registration : nullptr;
 }
 
 bool leaf_set::usable(leaf_handle handle) const {
-  return handle < leafs_.size() && accepts_requests(leafs_[handle]);
+  const bool known = handle < leafs_.size() && leafs_[handle];
+  return known && accepts_requests(*leafs_[handle]);
 }
 
 std::vector<leaf_status> leaf_set::statuses(time_point now) const {
   std::vector<leaf_status> all;
   for (const auto& [id, handle] : by_id_) {
-    const leaf_state& leaf = leafs_[handle];
-    all.push_back({.registration = leaf.registration,
+    const leaf_state& leaf = *leafs_[handle];
+    all.push_back({.registration = *leaf.registration,
                    .usable = accepts_requests(leaf),
                    .ejected = leaf.throttle->ejected(),
                    .rate_limit = leaf.throttle->rate_limit(),
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -198,7 +198,7 @@
 
 void request_task::send(const fanout::send_action& action) {
   const time_point now = steady_clock::now();
-  const leafs::leaf_registration to = *context_.leafs.find(action.leaf);
+  const auto to = context_.leafs.find(action.leaf);
   context_.leafs.on_attempt_sent(now, action.leaf, action.attempt, route_.name);
   context_.metrics.increment(counter::leaf_requests);
   if (action.kind == fanout::attempt_kind::hedge) {
@@ -211,14 +211,14 @@
   open.leaf = action.leaf;
   open.sent_at = now;
   open.call = context_.pool.send(
-      action.leaf, to.address,
+      action.leaf, to->address,
       {.make_text =
            [self = shared_from_this(), to] {
              const duration remaining =
                  self->caller_deadline_ - steady_clock::now();
              return http::serialize_request(
                  self->leaf_request_,
-                 self->context_.platform.make_leaf_headers(to, remaining));
+                 self->context_.platform.make_leaf_headers(*to, remaining));
            },
        .method = exchange_->request().method,
        .is_response =
@@ -234,6 +234,7 @@
   attempt_log_.push_back({.attempt = action.attempt,
                           .shard = action.shard,
                           .leaf = action.leaf,
+                          .registration = to,
                           .connection = open.call.connection(),
                           .kind = action.kind,
                           .sent_at = now,
@@ -272,10 +273,10 @@
     context_.metrics.increment(counter::reports_ignored);
   const auto log_change = [&](std::string_view event,
                               const logs::field& value) {
-    const leafs::leaf_registration& leaf = *context_.leafs.find(open.leaf);
+    const auto leaf = context_.leafs.find(open.leaf);
     context_.log.write(event,
-                       {{"leaf", leaf.id},
-                        {"service", leaf.service},
+                       {{"leaf", leaf->id},
+                        {"service", leaf->service},
                         value,
                         {"source", "response"},
                         {"request", metadata_.request_id},
@@ -416,7 +417,7 @@
   const bool uneventful = attempt.kind == fanout::attempt_kind::first &&
                           attempt.outcome == leafs::attempt_outcome::answered;
   if (uneventful) return;
-  const leafs::leaf_registration& leaf = *context_.leafs.find(attempt.leaf);
+  const leafs::leaf_registration& leaf = *attempt.registration;
   context_.log.write(
       "attempt", {{"request", metadata_.request_id},
                   {"service", execution_.plan().services[attempt.shard]},
--- a/packages/tier/src/request_task.hpp
+++ b/packages/tier/src/request_task.hpp
@@ -64,6 +64,7 @@
     leafs::attempt_id attempt = 0;
     std::size_t shard = 0;
     leafs::leaf_handle leaf = 0;
+    std::shared_ptr<const leafs::leaf_registration> registration;
     connection_id connection = 0;
     fanout::attempt_kind kind{};
     time_point sent_at;
--- a/packages/tier/src/store_view.cpp
+++ b/packages/tier/src/store_view.cpp
@@ -40,7 +40,7 @@
     if (update.value) {
       apply_record(now, update, source);
     } else {
-      apply_removal(update.key, source);
+      apply_removal(now, update.key, source);
     }
   }
 }
@@ -67,7 +67,7 @@
   } else {
     // A malformed record removes the leaf that an earlier value described.
     if (platform_.parse_key(update.key).kind == record_kind::leaf) {
-      leafs_.remove(platform_.parse_key(update.key).name);
+      leafs_.remove(now, platform_.parse_key(update.key).name);
     }
     log_.write("record_ignored",
                {{"key", update.key},
@@ -76,11 +76,11 @@
   }
 }
 
-void store_view::apply_removal(const std::string& key,
+void store_view::apply_removal(time_point now, const std::string& key,
                                std::string_view source) {
   const parsed_key parsed = platform_.parse_key(key);
   if (parsed.kind == record_kind::leaf) {
-    leafs_.remove(parsed.name);
+    leafs_.remove(now, parsed.name);
     log_.write("leaf_gone", {{"leaf", parsed.name}, {"source", source}});
   } else if (parsed.kind == record_kind::data_centre_out) {
     data_centres_out_.erase(parsed.name);
--- a/packages/tier/src/store_view.hpp
+++ b/packages/tier/src/store_view.hpp
@@ -37,7 +37,8 @@
                      std::string_view source);
   void apply_record(time_point now, const replica::update& update,
                     std::string_view source);
-  void apply_removal(const std::string& key, std::string_view source);
+  void apply_removal(time_point now, const std::string& key,
+                     std::string_view source);
   void apply_configuration(routes::configuration configuration,
                            std::string_view source);
 
