--- a/packages/base/include/medlarloft/base.hpp
+++ b/packages/base/include/medlarloft/base.hpp
@@ -74,6 +74,9 @@
   std::uint64_t state_;
 };
 
+/// Returns the first bytes of a text in quotes, for an error or a log line.
+std::string quote_start(std::string_view text);
+
 /// Why parsing a text failed.
 enum class parse_errc { not_a_duration, not_an_endpoint };
 using parse_error = basic_error<parse_errc>;
--- a/packages/base/src/text.cpp
+++ b/packages/base/src/text.cpp
@@ -33,12 +33,18 @@
 
 parse_error invalid_endpoint(std::string_view text) {
   return {parse_errc::not_an_endpoint,
-          "\"" + std::string(text) +
-              "\" is not an endpoint such as \"127.0.0.1:7000\""};
+          quote_start(text) + " is not an endpoint such as \"127.0.0.1:7000\""};
 }
 
 }  // namespace
 
+std::string quote_start(std::string_view text) {
+  constexpr std::size_t max_quoted_bytes = 64;
+  const bool cut = text.size() > max_quoted_bytes;
+  return "\"" + std::string(text.substr(0, max_quoted_bytes)) + "\"" +
+         (cut ? "..." : "");
+}
+
 result<duration, parse_error> parse_duration(std::string_view text) {
   double number = 0;
   const char* end = text.data() + text.size();
@@ -71,6 +77,8 @@
   if (host.size() > 1 && host.front() == '[' && host.back() == ']') {
     host = host.substr(1, host.size() - 2);
   }
+  // make_address reads up to the first null character.
+  if (host.find('\0') != std::string_view::npos) return invalid_endpoint(text);
   boost::system::error_code invalid;
   const auto address =
       boost::asio::ip::make_address(std::string(host), invalid);
