soak: records that return by a late write, and odd entries

Change: the record of a leaving leaf is removed and comes back 2 s after the bound; entries with numbers and ports out of range, 1,000 levels and a line break in the key. Faults and statements of leafs move to leaf_faults.cpp.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -22,15 +22,6 @@
 /// Number of events of ten that are planned work.
 constexpr std::uint64_t planned_events_of_ten = 4;
 
-/// Leafs that state a limit, in requests per second, or leave, and pauses.
-constexpr std::uint64_t max_rate_limit = 20;
-constexpr int limited_leafs = 3;
-constexpr int pauses = 3;
-constexpr int leaving_leafs = 2;
-/// How long a leaf turns requests away, and the pause that it asks for.
-constexpr duration busy_time = milliseconds(600);
-constexpr duration requested_pause = milliseconds(1800);
-
 /// Distinguish the generators of faults that were added later.
 constexpr std::uint64_t peer_random_id = 2;
 constexpr std::uint64_t endless_random_id = 3;
@@ -279,59 +270,6 @@
   }
 }
 
-void fault_plan::replace_leaf(std::size_t leaf) {
-  standins::leaf& ended = *deployment_.leafs()[leaf];
-  if (!ended.running()) return;
-  ended.crash();
-  deployment_.deregister_leaf(ended);
-  ended.restart(ended.settings().start_id + 1);
-  checker_.on_leaf_serving(ended.settings().id);
-  deployment_.register_leaf(ended);
-}
-
-void fault_plan::schedule_statements() {
-  const std::size_t count = deployment_.leafs().size();
-  const auto draw_time = [this] {
-    return options_.window_begin +
-           statement_random_.below(options_.window_end - options_.window_begin);
-  };
-  for (int i = 0; i < limited_leafs; ++i) {
-    const std::size_t leaf = statement_random_.below(count);
-    const auto limit =
-        static_cast<double>(1 + statement_random_.below(max_rate_limit));
-    schedule(options_.window_begin, [this, leaf, limit] {
-      standins::leaf& limited = *deployment_.leafs()[leaf];
-      log_("limit " + limited.settings().id + " " + std::to_string(limit));
-      limited.set_rate_limit(limit);
-    });
-  }
-  for (int i = 0; i < pauses; ++i)
-    schedule_pause(statement_random_.below(count), draw_time());
-  for (int i = 0; i < leaving_leafs; ++i)
-    schedule_leaving(statement_random_.below(count), draw_time());
-}
-
-// The leaf turns requests away for a while, with a longer pause.
-void fault_plan::schedule_pause(std::size_t leaf, duration when) {
-  schedule(when, [this, leaf] {
-    log_("pause " + deployment_.leafs()[leaf]->settings().id);
-    deployment_.leafs()[leaf]->set_pause(requested_pause);
-  });
-  schedule(when + busy_time, [this, leaf] {
-    deployment_.leafs()[leaf]->set_pause(std::nullopt);
-  });
-}
-
-// The record of the leaf says that it is ready until it ends.
-void fault_plan::schedule_leaving(std::size_t leaf, duration when) {
-  schedule(when, [this, leaf] {
-    standins::leaf& leaving = *deployment_.leafs()[leaf];
-    log_("leaving " + leaving.settings().id);
-    leaving.set_leaving();
-    timers_.after(leaf_stop_delay, [this, leaf] { replace_leaf(leaf); });
-  });
-}
-
 // Messages from others to some daemons are lost or delayed; messages that these
 // daemons send arrive.
 void fault_plan::schedule_peer_faults() {
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -45,6 +45,7 @@
   void schedule_statements();
   void schedule_pause(std::size_t leaf, duration when);
   void schedule_leaving(std::size_t leaf, duration when);
+  void schedule_odd_entries(duration when);
   /// Ends the leaf and starts it again under the same id.
   void replace_leaf(std::size_t leaf);
   /// Runs `begin` at `when` and `end` after `span`; a fault counts as active
