--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -72,11 +72,6 @@
           .max_wait = max_wait(route, deadline - started_at)};
 }
 
-// Durations are logged in whole microseconds.
-duration to_whole_us(duration value) {
-  return std::chrono::floor<std::chrono::microseconds>(value);
-}
-
 }  // namespace
 
 time_point request_deadline(time_point received_at,
@@ -188,14 +183,6 @@
   perform(execution_.on_timer(steady_clock::now()));
 }
 
-std::vector<connection_id> request_task::connections_to(
-    leafs::leaf_handle leaf) const {
-  std::vector<connection_id> connections;
-  for (const attempt_record& earlier : attempt_log_)
-    if (earlier.leaf == leaf) connections.push_back(earlier.connection);
-  return connections;
-}
-
 void request_task::send(const fanout::send_action& action) {
   const time_point now = steady_clock::now();
   const auto to = context_.leafs.find(action.leaf);
@@ -226,20 +213,20 @@
              return self->context_.platform.match_response(
                  response, self->metadata_.request_id);
            },
-       .carried_by = connections_to(action.leaf)},
+       .carried_by = attempts_.connections_to(action.leaf)},
       [self = shared_from_this(),
        attempt = action.attempt](pool_result result) {
         self->on_attempt_ended(attempt, std::move(result));
       });
-  attempt_log_.push_back({.attempt = action.attempt,
-                          .shard = action.shard,
-                          .leaf = action.leaf,
-                          .registration = to,
-                          .connection = open.call.connection(),
-                          .kind = action.kind,
-                          .sent_at = now,
-                          .expected_time = context_.leafs.expected_time(
-                              now, action.leaf, route_.name)});
+  attempts_.add({.attempt = action.attempt,
+                 .shard = action.shard,
+                 .leaf = action.leaf,
+                 .registration = to,
+                 .connection = open.call.connection(),
+                 .kind = action.kind,
+                 .sent_at = now,
+                 .expected_time = context_.leafs.expected_time(now, action.leaf,
+                                                               route_.name)});
 }
 
 void request_task::abandon(const fanout::abandon_action& action) {
@@ -334,11 +321,8 @@
   }
   context_.leafs.on_attempt_ended(now, open.leaf, attempt, outcome);
   context_.metrics.count_attempt(outcome);
-  const auto logged =
-      std::ranges::find(attempt_log_, attempt, &attempt_record::attempt);
-  logged->outcome = outcome;
-  logged->elapsed = now - logged->sent_at;
-  const std::string& service = execution_.plan().services[logged->shard];
+  const std::size_t shard = attempts_.end(now, attempt, outcome).shard;
+  const std::string& service = execution_.plan().services[shard];
   if (!open.abandoned && !execution_.finished()) {
     perform(outcome == leafs::attempt_outcome::answered
                 ? execution_.on_response(now, attempt, std::move(*response))
@@ -412,26 +396,6 @@
   log_request_ended(result, status);
 }
 
-// First attempts that were answered are not logged.
-void request_task::log_attempt(const attempt_record& attempt) {
-  const bool uneventful = attempt.kind == fanout::attempt_kind::first &&
-                          attempt.outcome == leafs::attempt_outcome::answered;
-  if (uneventful) return;
-  const leafs::leaf_registration& leaf = *attempt.registration;
-  context_.log.write(
-      "attempt", {{"request", metadata_.request_id},
-                  {"service", execution_.plan().services[attempt.shard]},
-                  {"kind", fanout::name_of(attempt.kind)},
-                  {"leaf", leaf.id},
-                  {"data_centre", leaf.data_centre},
-                  {"connection", attempt.connection},
-                  {"sent_after", to_whole_us(attempt.sent_at - received_at_)},
-                  {"expected", to_whole_us(attempt.expected_time)},
-                  {"ending", attempt.outcome ? leafs::name_of(*attempt.outcome)
-                                             : "no_answer_yet"},
-                  {"took", to_whole_us(attempt.elapsed)}});
-}
-
 void request_task::log_missing_part(const fanout::missing_part& part) {
   context_.log.write(
       "part_missing",
@@ -454,9 +418,8 @@
       result.missing_count == 0 && now <= execution_.plan().soft_deadline;
   if (!context_.log.admit_request(now, !in_time_and_whole)) return;
   const fanout::attempt_counts& counts = execution_.counts();
-  std::ranges::for_each(attempt_log_, [this](const attempt_record& attempt) {
-    log_attempt(attempt);
-  });
+  attempts_.write(context_.log, metadata_.request_id, received_at_,
+                  execution_.plan().services);
   std::ranges::for_each(
       result.missing,
       [this](const fanout::missing_part& part) { log_missing_part(part); });
--- a/packages/tier/src/request_task.hpp
+++ b/packages/tier/src/request_task.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "attempt_log.hpp"
 #include "connection_pool.hpp"
 #include "daemon_metrics.hpp"
 #include "event_log.hpp"
@@ -59,27 +60,10 @@
     loop::timer_queue::handle drain_timer;
   };
 
-  /// A request to a leaf, as it is logged.
-  struct attempt_record {
-    leafs::attempt_id attempt = 0;
-    std::size_t shard = 0;
-    leafs::leaf_handle leaf = 0;
-    std::shared_ptr<const leafs::leaf_registration> registration;
-    connection_id connection = 0;
-    fanout::attempt_kind kind{};
-    time_point sent_at;
-    duration expected_time{};
-    /// Nothing while the attempt is open.
-    std::optional<leafs::attempt_outcome> outcome;
-    duration elapsed{};
-  };
-
   fanout::hooks make_hooks();
   void update_wait_queues(const fanout::actions& actions);
   void perform(fanout::actions actions);
   void send(const fanout::send_action& action);
-  /// Returns the connections on which this request was sent to the leaf.
-  std::vector<connection_id> connections_to(leafs::leaf_handle leaf) const;
   void abandon(const fanout::abandon_action& action);
   void on_attempt_ended(leafs::attempt_id attempt, pool_result result);
   void apply_report(time_point now, const open_attempt& open,
@@ -87,7 +71,6 @@
   void on_timer();
   void finish(const fanout::request_result& result);
   http::message make_response(const fanout::request_result& result) const;
-  void log_attempt(const attempt_record& attempt);
   void log_missing_part(const fanout::missing_part& part);
   void log_request_ended(const fanout::request_result& result, int status);
 
@@ -104,7 +87,7 @@
   fanout::execution execution_;
   waiting::leaf_picker picker_;
   std::unordered_map<leafs::attempt_id, open_attempt> open_attempts_;
-  std::vector<attempt_record> attempt_log_;
+  attempt_log attempts_;
   loop::timer_queue::handle timer_;
 };
 
