leafs: an older write of a leaf does not end its drain

What leafs see: DRAIN. A leaf writes that it drains, and a heartbeat from before is carried out late: the daemon sends it requests again. Cause: of two records of one start the one that the store carried out last counts, though the leaf wrote it earlier. Evidence: leaf_reports.an_older_write_does_not_end_a_drain fails with the comparison switched off, and passes. Change: callSeq is read as the number of a write; a lower one of the same start changes nothing, nor does it bring back a removed record. Nothing is compared without born or callSeq. The line leaf_registered says whether the leaf is usable. Why it works: callSeq rises with each write of a start and starts anew with it.

--- a/packages/leafs/include/medlarloft/leafs.hpp
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -32,8 +32,10 @@
   /// Time until the leaf is no longer cold. A cold leaf has just started and
   /// can handle only a limited rate of requests.
   duration cold_time_left{};
-  /// Distinguishes successive starts under the same id.
+  /// Distinguishes successive starts under the same id; 0 if it is not known.
   std::int64_t start_id = 0;
+  /// Rises with each write of one start; 0 if it is not known.
+  std::uint64_t write_number = 0;
 
   friend bool operator==(const leaf_registration&,
                          const leaf_registration&) = default;
@@ -205,7 +207,7 @@
   /// Adds a leaf or updates its registration. A changed start, address or
   /// service yields a new handle without the history of the old one. A start
   /// whose registration was removed and returns has its history, and what the
-  /// leaf said of itself.
+  /// leaf said of itself. An older write of the same start changes nothing.
   leaf_handle put(time_point now, const leaf_registration& registration);
   void remove(time_point now, const std::string& id);
   /// Sets the data centres that are out: their leafs get no requests.
--- a/packages/leafs/src/leaf_set.cpp
+++ b/packages/leafs/src/leaf_set.cpp
@@ -41,6 +41,14 @@
   return value * std::exp2(-std::max(half_lives, 0.0));
 }
 
+// A write that the store carries out late may be older than one that it carried
+// out before. Starts that are not known cannot be told apart.
+bool is_older_write(const leaf_registration& write,
+                    const leaf_registration& known) {
+  return write.start_id != 0 && write.write_number != 0 &&
+         write.write_number < known.write_number;
+}
+
 }  // namespace
 
 leaf_set::leaf_set(options settings, std::uint64_t seed)
@@ -54,6 +62,8 @@
   if (found != by_id_.end()) {
     leaf_state& known = *leafs_[found->second];
     if (same_start(*known.registration, registration)) {
+      if (is_older_write(registration, *known.registration))
+        return found->second;
       known.registration =
           std::make_shared<const leaf_registration>(registration);
       known.throttle->set_cold_until(now + registration.cold_time_left);
@@ -64,6 +74,10 @@
   const auto departed = departed_->take(registration);
   const leaf_handle handle = departed ? *departed : add_leaf();
   leaf_state& leaf = *leafs_[handle];
+  if (departed && is_older_write(registration, *leaf.registration)) {
+    departed_->add(now, handle, leaf.registration);
+    return handle;
+  }
   leaf.registration = std::make_shared<const leaf_registration>(registration);
   leaf.registered = true;
   leaf.throttle->set_cold_until(now + registration.cold_time_left);
--- a/packages/leafs/tests/leaf_reports_test.cpp
+++ b/packages/leafs/tests/leaf_reports_test.cpp
@@ -70,6 +70,34 @@
   EXPECT_TRUE(set.usable(set.put(start + seconds(3), leaf("a", 2))));
 }
 
+// A write from before the leaf said in its record that it drains is carried out
+// late: the leaf got requests again.
+TEST_F(leaf_reports, an_older_write_does_not_end_a_drain) {
+  leaf_registration ready = leaf("a");
+  ready.write_number = 6;
+  leaf_registration draining = ready;
+  draining.write_number = 7;
+  draining.draining = true;
+  const leaf_handle a = set.put(start, draining);
+  set.put(start + seconds(1), ready);
+  EXPECT_FALSE(set.usable(a));
+  set.remove(start + seconds(2), "a");
+  EXPECT_FALSE(set.usable(set.put(start + seconds(3), ready)));
+  EXPECT_EQ(set.size(), 0U);
+  ready.write_number = 8;
+  EXPECT_TRUE(set.usable(set.put(start + seconds(4), ready)));
+}
+
+// A new start counts its writes anew.
+TEST_F(leaf_reports, the_first_write_of_a_new_start_is_not_older) {
+  leaf_registration first = leaf("a", 1);
+  first.write_number = 9;
+  set.put(start, first);
+  leaf_registration second = leaf("a", 2);
+  second.write_number = 1;
+  EXPECT_TRUE(set.usable(set.put(start + seconds(1), second)));
+}
+
 // The same fault for a pause: the leaf got requests in it.
 TEST_F(leaf_reports, a_pause_outlives_the_record) {
   const leaf_handle a = set.put(start, leaf("a"));
--- a/packages/tier/src/store_view.cpp
+++ b/packages/tier/src/store_view.cpp
@@ -51,10 +51,11 @@
   if (auto* configuration = std::get_if<routes::configuration>(&read)) {
     apply_configuration(std::move(*configuration), source);
   } else if (const auto* leaf = std::get_if<leafs::leaf_registration>(&read)) {
-    leafs_.put(now, *leaf);
+    const leafs::leaf_handle handle = leafs_.put(now, *leaf);
     log_.write("leaf_registered", {{"leaf", leaf->id},
                                    {"service", leaf->service},
                                    {"draining", leaf->draining},
+                                   {"usable", leafs_.usable(handle)},
                                    {"cold_for", leaf->cold_time_left},
                                    {"source", source},
                                    {"revision", records_.last_revision()}});
