leafs, tier: two lines that the linter refuses

Cause: a shared pointer taken by value and copied; clang-tidy 14 cannot read GCC 12's ranges::subrange, which std::ranges::stable_partition returns. Change: the pointer is moved; std::stable_partition. No behaviour. Measured: scripts/lint on the two files without a finding.

--- a/packages/leafs/src/departed_leafs.cpp
+++ b/packages/leafs/src/departed_leafs.cpp
@@ -1,6 +1,8 @@
 #include "departed_leafs.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace medlarloft::leafs {
 
@@ -12,9 +14,9 @@
 void departed_leafs::add(
     time_point now, leaf_handle leaf,
     std::shared_ptr<const leaf_registration> registration) {
-  const std::string& id = registration->id;
-  entries_.push_back({now, leaf, registration});
-  by_id_.emplace(id, std::prev(entries_.end()));
+  entries_.push_back({now, leaf, std::move(registration)});
+  const auto added = std::prev(entries_.end());
+  by_id_.emplace(added->registration->id, added);
 }
 
 std::optional<leaf_handle> departed_leafs::take(
--- a/packages/tier/src/connection_pool.cpp
+++ b/packages/tier/src/connection_pool.cpp
@@ -75,7 +75,9 @@
     return std::ranges::find(carried_by, each.open.id) != carried_by.end();
   };
   // The newest is taken, which is the last one.
-  if (!carried_by.empty()) std::ranges::stable_partition(connections, carried);
+  if (!carried_by.empty()) {
+    std::stable_partition(connections.begin(), connections.end(), carried);
+  }
   const time_point now = steady_clock::now();
   while (!connections.empty()) {
     const idle_connection newest = std::move(connections.back());
