tier, routes, platform: client accounts and their keys

Cause: configurations may name client accounts. Nothing in the code knew them, so that keys were passed on to leafs and leafs were told no account. Change: a route that is not public needs the key of an account, otherwise the request is answered 401 before a leaf sees it. Leafs get the account's name and never the key; the account's priority precedes the route's. Without accounts in the configuration both headers pass through as before. The arguments of a request_task became one struct, admitted_request.

--- a/packages/routes/include/medlarloft/routes.hpp
+++ b/packages/routes/include/medlarloft/routes.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
-/// The operators' configuration: routes, services and request limits of one
-/// version, and the lookup of the route for a request.
+/// The operators' configuration: routes, services, client accounts and request
+/// limits of one version, and the lookups for a request.
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -53,6 +54,8 @@
   std::uint32_t max_records = 0;
   /// Minimum fraction of the shards whose parts a merged response must contain.
   double min_coverage = 1.0;
+  /// Whether callers need no client account.
+  bool is_public = false;
 
   bool gathers() const noexcept { return !shards.empty(); }
 };
@@ -69,6 +72,25 @@
   double cold_rate_limit = 0;
 };
 
+/// The requests of one account that all daemons together accept: a rate, and a
+/// burst in addition to it.
+struct quota_limit {
+  double rate_per_second = 0;
+  double burst = 0;
+
+  friend bool operator==(const quota_limit&, const quota_limit&) = default;
+};
+
+/// A client account. A caller belongs to the account that holds its key.
+struct account {
+  std::string name;
+  std::vector<std::string> keys;
+  /// Takes precedence over the priority of the route.
+  std::optional<std::uint32_t> priority;
+  /// Not set: the account has no limit.
+  std::optional<quota_limit> quota;
+};
+
 /// Limits of the size of callers' requests and of the time to receive them,
 /// with the meaning of `http::limits`.
 struct request_limits {
@@ -82,11 +104,14 @@
   config_version version = 0;
   std::vector<route> routes;
   std::map<std::string, service, std::less<>> services;
+  /// Empty if requests need no account.
+  std::vector<account> accounts;
   request_limits limits;
 };
 
-/// The routes of one configuration version. Immutable; each request keeps the
-/// table with which it began, so that it never mixes two versions.
+/// The routes and accounts of one configuration version. Immutable; each
+/// request keeps the table with which it began, so that it never mixes two
+/// versions.
 class route_table {
  public:
   explicit route_table(configuration config);
@@ -98,13 +123,30 @@
   const route* find(std::string_view host, std::string_view target) const;
 
   const service* find_service(std::string_view name) const;
+
+  /// Returns the account that holds the key, or null.
+  const account* find_account(std::string_view key) const;
+  /// Whether requests to routes that are not public need an account.
+  bool has_accounts() const noexcept { return !config_.accounts.empty(); }
+  /// Ambiguous entries of the configuration, one sentence each. An account that
+  /// is named twice has the keys of both entries and the limits of the first; a
+  /// key of two accounts belongs to the first.
+  const std::vector<std::string>& problems() const noexcept {
+    return problems_;
+  }
+
   const configuration& config() const noexcept { return config_; }
   config_version version() const noexcept { return config_.version; }
 
  private:
+  void merge_accounts();
+  void index_keys();
+
   configuration config_;
   /// Routes by host, longest prefix first.
   std::unordered_map<std::string, std::vector<const route*>> by_host_;
+  std::unordered_map<std::string, const account*> by_key_;
+  std::vector<std::string> problems_;
 };
 
 using route_table_ptr = std::shared_ptr<const route_table>;
--- a/packages/routes/src/routes.cpp
+++ b/packages/routes/src/routes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <numeric>
 
 namespace medlarloft::routes {
@@ -25,6 +26,38 @@
       return each->prefix.size();
     });
   }
+  merge_accounts();
+  index_keys();
+}
+
+void route_table::merge_accounts() {
+  std::vector<account> merged;
+  for (account& each : config_.accounts) {
+    const auto known = std::ranges::find(merged, each.name, &account::name);
+    if (known == merged.end()) {
+      merged.push_back(std::move(each));
+      continue;
+    }
+    problems_.push_back("account \"" + each.name + "\" is named twice");
+    std::ranges::move(each.keys, std::back_inserter(known->keys));
+  }
+  config_.accounts = std::move(merged);
+}
+
+void route_table::index_keys() {
+  for (const account& each : config_.accounts) {
+    for (const std::string& key : each.keys) {
+      const auto [entry, added] = by_key_.try_emplace(key, &each);
+      if (added || entry->second == &each) continue;
+      problems_.push_back("account \"" + each.name + "\" names a key of \"" +
+                          entry->second->name + "\"");
+    }
+  }
+}
+
+const account* route_table::find_account(std::string_view key) const {
+  const auto found = by_key_.find(std::string(key));
+  return found == by_key_.end() ? nullptr : found->second;
 }
 
 const route* route_table::find(std::string_view host,
--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -129,10 +129,22 @@
 struct request_metadata {
   std::string request_id;
   std::string host;
+  /// Shows to which client account the caller belongs; empty if the request has
+  /// no key, or several.
+  std::string key;
   /// How long the caller still waits; nothing if the request does not state it.
   std::optional<duration> remaining;
 };
 
+/// The client account for which a request is sent to leafs.
+struct account_identity {
+  /// Whether the configuration names accounts. If not, what the request itself
+  /// says about accounts and keys passes through unchanged.
+  bool in_use = false;
+  /// Empty if the request belongs to no account.
+  std::string name;
+};
+
 /// The values of a leaf's response that the daemon uses itself.
 struct response_metadata {
   std::string signature;
@@ -169,7 +181,9 @@
   std::function<request_metadata(const http::message&)> read_request_metadata;
   /// Returns the request that is sent to every leaf, without the headers of a
   /// single leaf.
-  std::function<http::message(const http::message& request)> make_leaf_request;
+  std::function<http::message(const http::message& request,
+                              const account_identity& account)>
+      make_leaf_request;
   /// Returns the headers added for one leaf; `remaining` is the time until the
   /// caller's deadline.
   std::function<std::vector<header>(const leafs::leaf_registration& to,
--- a/packages/tier/src/daemon_metrics.cpp
+++ b/packages/tier/src/daemon_metrics.cpp
@@ -15,7 +15,8 @@
                   "hedges",           "retries",
                   "budget_empty",     "connections_opened",
                   "store_calls",      "peer_bytes",
-                  "address_answers",  "reports_ignored"};
+                  "address_answers",  "unauthorized",
+                  "reports_ignored"};
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(gauge::gauge_count)>
--- a/packages/tier/src/daemon_metrics.hpp
+++ b/packages/tier/src/daemon_metrics.hpp
@@ -30,6 +30,7 @@
   store_calls,
   peer_bytes,
   address_answers,
+  unauthorized,     // requests without the key of an account
   reports_ignored,  // headers of leafs with a malformed or excessive value
   counter_count     // the number of counters
 };
--- a/packages/tier/src/daemon_state.hpp
+++ b/packages/tier/src/daemon_state.hpp
@@ -55,6 +55,9 @@
   bool holds_requests();
   void hold(const std::shared_ptr<http::exchange>& exchange);
   void refuse_while_stopping(http::exchange& exchange);
+  void refuse_without_account(http::exchange& exchange,
+                              const request_metadata& metadata,
+                              const routes::route& route);
   /// Whether the daemon may end before the request does, which must not be
   /// repeated then.
   bool may_outlast_stop(const http::exchange& exchange,
--- a/packages/tier/src/daemon_traffic.cpp
+++ b/packages/tier/src/daemon_traffic.cpp
@@ -13,6 +13,7 @@
 
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
+constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
@@ -124,6 +125,20 @@
   return deadline > stop.answer_deadline();
 }
 
+void daemon::state::refuse_without_account(http::exchange& exchange,
+                                           const request_metadata& metadata,
+                                           const routes::route& route) {
+  metrics.increment(counter::unauthorized);
+  if (log.admit_request(steady_clock::now(), true)) {
+    log.write("no_account", {{"request", metadata.request_id},
+                             {"route", route.name},
+                             {"key_given", !metadata.key.empty()},
+                             {"version", view.table()->version()}});
+  }
+  exchange.respond({.status = status_unauthorized,
+                    .headers = {{"WWW-Authenticate", "Bearer"}}});
+}
+
 void daemon::state::serve(std::shared_ptr<http::exchange> exchange) {
   check_pause();
   if (holds_requests()) {
@@ -164,19 +179,27 @@
     exchange->respond({.status = status_not_found});
     return;
   }
+  const routes::account* account = table->find_account(metadata.key);
+  if (table->has_accounts() && !route->is_public && account == nullptr) {
+    refuse_without_account(*exchange, metadata, *route);
+    return;
+  }
   if (may_outlast_stop(*exchange, metadata, *route)) {
     refuse_while_stopping(*exchange);
     return;
   }
-  std::vector<std::string> services =
-      route->gathers()
-          ? route->shards
-          : std::vector{splits[route->name].next(route->split).service};
-  std::make_shared<request_task>(
-      traffic, std::move(exchange), std::move(metadata), table, *route,
-      std::move(services),
-      stop.begun() ? stop.answer_deadline() : time_point::max())
-      ->start();
+  admitted_request admitted{
+      .exchange = std::move(exchange),
+      .metadata = std::move(metadata),
+      .table = table,
+      .route = route,
+      .account = account,
+      .services =
+          route->gathers()
+              ? route->shards
+              : std::vector{splits[route->name].next(route->split).service}};
+  if (stop.begun()) admitted.stop_deadline = stop.answer_deadline();
+  std::make_shared<request_task>(traffic, std::move(admitted))->start();
 }
 
 }  // namespace medlarloft::tier
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -72,6 +72,11 @@
           .max_wait = max_wait(route, deadline - started_at)};
 }
 
+std::uint32_t priority_of(const routes::route& route,
+                          const routes::account* account) {
+  return account ? account->priority.value_or(route.priority) : route.priority;
+}
+
 }  // namespace
 
 time_point request_deadline(time_point received_at,
@@ -83,27 +88,25 @@
              : deadline;
 }
 
-request_task::request_task(traffic_context& context,
-                           std::shared_ptr<http::exchange> exchange,
-                           request_metadata metadata,
-                           routes::route_table_ptr table,
-                           const routes::route& route,
-                           std::vector<std::string> services,
-                           time_point stop_deadline)
+request_task::request_task(traffic_context& context, admitted_request request)
     : context_(context),
-      exchange_(std::move(exchange)),
-      metadata_(std::move(metadata)),
-      leaf_request_(context.platform.make_leaf_request(exchange_->request())),
-      table_(std::move(table)),
-      route_(route),
+      exchange_(std::move(request.exchange)),
+      metadata_(std::move(request.metadata)),
+      leaf_request_(context.platform.make_leaf_request(
+          exchange_->request(),
+          {.in_use = request.table->has_accounts(),
+           .name = request.account ? request.account->name : ""})),
+      table_(std::move(request.table)),
+      route_(*request.route),
+      account_(request.account),
       received_at_(exchange_->received_at()),
-      caller_deadline_(caller_deadline(received_at_, metadata_, route)),
-      execution_(make_plan(route, metadata_, std::move(services), received_at_,
-                           stop_deadline),
+      caller_deadline_(caller_deadline(received_at_, metadata_, route_)),
+      execution_(make_plan(route_, metadata_, std::move(request.services),
+                           received_at_, request.stop_deadline),
                  make_hooks()),
       picker_(context.leafs, context.queue,
-              {.work_class = route.name,
-               .priority = route.priority,
+              {.work_class = route_.name,
+               .priority = priority_of(route_, account_),
                .soft_deadline = execution_.plan().soft_deadline}) {}
 
 fanout::hooks request_task::make_hooks() {
@@ -427,6 +430,7 @@
       "request_ended",
       {{"request", metadata_.request_id},
        {"route", route_.name},
+       {"account", account_ ? account_->name : "none"},
        {"new_connection", exchange_->first_on_connection()},
        {"version", table_->version()},
        {"outcome", fanout::name_of(result.outcome)},
--- a/packages/tier/src/request_task.hpp
+++ b/packages/tier/src/request_task.hpp
@@ -37,16 +37,25 @@
                             const request_metadata& metadata,
                             const routes::route& route);
 
+/// A request of a caller that may be sent to leafs.
+struct admitted_request {
+  std::shared_ptr<http::exchange> exchange;
+  request_metadata metadata;
+  /// Keeps the configuration alive that `route` and `account` are part of.
+  routes::route_table_ptr table;
+  const routes::route* route = nullptr;
+  /// Null if the request belongs to no account.
+  const routes::account* account = nullptr;
+  /// The shards of a gather, or the one service chosen for a single request.
+  std::vector<std::string> services;
+  /// The request is answered by then at the latest; infinite unless the daemon
+  /// is stopping.
+  time_point stop_deadline = time_point::max();
+};
+
 class request_task : public std::enable_shared_from_this<request_task> {
  public:
-  /// `table` keeps the configuration alive that `route` is part of. The request
-  /// is answered by `stop_deadline` at the latest, which is infinite unless the
-  /// daemon is stopping.
-  request_task(traffic_context& context,
-               std::shared_ptr<http::exchange> exchange,
-               request_metadata metadata, routes::route_table_ptr table,
-               const routes::route& route, std::vector<std::string> services,
-               time_point stop_deadline);
+  request_task(traffic_context& context, admitted_request request);
 
   void start();
 
@@ -81,6 +90,7 @@
   http::message leaf_request_;
   routes::route_table_ptr table_;
   const routes::route& route_;
+  const routes::account* account_;
   time_point received_at_;
   /// When the caller stops waiting; leafs are sent the remaining time.
   time_point caller_deadline_;
--- a/packages/tier/src/store_view.cpp
+++ b/packages/tier/src/store_view.cpp
@@ -102,10 +102,15 @@
   log_.write("configuration_in_force",
              {{"version", configuration.version},
               {"routes", configuration.routes.size()},
+              {"accounts", configuration.accounts.size()},
               {"source", source},
               {"revision", records_.last_revision()}});
   table_ =
       std::make_shared<const routes::route_table>(std::move(configuration));
+  for (const std::string& problem : table_->problems()) {
+    log_.write("configuration_ambiguous",
+               {{"version", table_->version()}, {"problem", problem}});
+  }
 }
 
 }  // namespace medlarloft::tier
