http: a response with a status outside 100 to 599 is malformed

Cause: the parser takes any three digits. Status 000 counted as an interim response, so that the request waited for its timeout (504); 999 was passed on to the caller of a single request, or ejected the leaf as a failure. Change: complete_response fails such a response as malformed, for single requests and parts alike: the attempt is lost, and 502 if it cannot be repeated. Status lines malformed in other ways were rejected before; they have a test now.

--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -47,6 +47,19 @@
 constexpr int probe_interval_s = 1;
 constexpr int probe_count = 2;
 
+// The parser takes any three digits. Other status codes than those of RFC 9110,
+// section 15, mean nothing to a caller, so that they are no response.
+bool is_valid_status(unsigned status) {
+  constexpr unsigned first_status = 100;
+  constexpr unsigned last_status = 599;
+  return status >= first_status && status <= last_status;
+}
+
+bool is_interim(unsigned status) {
+  constexpr unsigned first_final_status = 200;
+  return status < first_final_status;
+}
+
 void set_tcp_timeouts(int descriptor, duration user_timeout) {
   const auto set = [descriptor](int level, int name, int value) {
     // An option that cannot be set is no error: a dead connection is then only
@@ -266,8 +279,12 @@
 }
 
 void tcp_connection::complete_response(bool has_excess_bytes) {
-  constexpr unsigned first_final_status = 200;
-  if (parser_->get().result_int() < first_final_status) {
+  const unsigned status = parser_->get().result_int();
+  if (!is_valid_status(status)) {
+    fail(response_errc::malformed);
+    return;
+  }
+  if (is_interim(status)) {
     skip_response();
     return;
   }
--- a/packages/http/tests/connection_test.cpp
+++ b/packages/http/tests/connection_test.cpp
@@ -197,6 +197,32 @@
   EXPECT_FALSE(client->usable());
 }
 
+// A failing leaf answered with status 000. It was skipped like an interim
+// response, so that the request waited for its timeout; a status above 599 was
+// passed on to the caller.
+TEST_F(connection_test, a_status_outside_100_to_599_is_malformed) {
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    leaf.responses = {std::string("HTTP/1.1 ") + status +
+                      " Odd\r\nId: 1\r\nContent-Length: 2\r\n\r\nno"};
+    const auto client = open();
+    const auto result = send(*client);
+    ASSERT_FALSE(result) << status;
+    EXPECT_EQ(result.error(), response_errc::malformed) << status;
+    EXPECT_FALSE(client->usable()) << status;
+  }
+}
+
+TEST_F(connection_test, a_malformed_status_line_is_malformed) {
+  for (const char* line :
+       {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK",
+        "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK", "HTTP/1.1", "HTTP/9.9 200 OK",
+        "HTTP/1.1 \r\n"}) {
+    leaf.responses = {std::string(line) + "\r\nContent-Length: 2\r\n\r\nno"};
+    const auto client = open();
+    EXPECT_FALSE(send(*client)) << line;
+  }
+}
+
 TEST_F(connection_test, skips_an_interim_response) {
   leaf.responses = {
       "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n"
