--- a/packages/http/tests/harness.hpp
+++ b/packages/http/tests/harness.hpp
@@ -136,6 +136,8 @@
  public:
   raw_caller(io_context& loop, const endpoint& to) : socket_(loop) {
     socket_.connect({asio::ip::make_address(to.ip), to.port});
+    // Otherwise the system may merge the parts of a split request.
+    socket_.set_option(tcp::no_delay(true));
     read();
   }
 
@@ -143,6 +145,13 @@
     asio::write(socket_, asio::buffer(text));
   }
   void close() { socket_.close(); }
+  /// Closes only the sending half.
+  void shutdown_send() { socket_.shutdown(tcp::socket::shutdown_send); }
+  /// Closes the connection with a reset.
+  void reset() {
+    socket_.set_option(asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
 
   std::string received;
   bool disconnected = false;
