tier: leafs stop within 250 ms after the caller has left

The limit of the drain time after a disconnect was never applied: it depended on the exchange being released, which happens only with the request. The connection to the leaf stayed open for four times the expected time. A request now records when its caller left; attempts that had been abandoned before, such as those that lost against a hedge, close by the same time.

--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -27,7 +27,9 @@
 /// sent: that keeps the connection usable and shows how fast the leaf is.
 constexpr duration min_drain_time = std::chrono::milliseconds(400);
 constexpr int drain_factor = 4;
-/// Limit of the drain time once the caller has left.
+/// Limit of the drain time once the caller has left. A leaf stops working when
+/// its connection closes, which must be half a second after the caller's
+/// disconnect at the latest.
 constexpr duration caller_left_drain = std::chrono::milliseconds(250);
 /// How long a caller waits if neither its request nor the route states it.
 constexpr duration default_caller_timeout = std::chrono::seconds(10);
@@ -159,9 +161,8 @@
   const time_point now = steady_clock::now();
   for (const std::string& service : execution_.plan().services)
     context_.budget.add_request(now, service);
-  exchange_->on_disconnect([self = shared_from_this()] {
-    self->perform(self->execution_.on_caller_left(steady_clock::now()));
-  });
+  exchange_->on_disconnect(
+      [self = shared_from_this()] { self->on_caller_left(); });
   perform(execution_.start(now));
 }
 
@@ -232,23 +233,39 @@
                                                                route_.name)});
 }
 
+// Attempts that were abandoned earlier, such as those that lost against a
+// hedge, have no caller any more either.
+void request_task::on_caller_left() {
+  const time_point now = steady_clock::now();
+  caller_left_at_ = now;
+  perform(execution_.on_caller_left(now));
+  for (auto& [attempt, open] : open_attempts_)
+    if (open.abandoned) start_drain_timer(now, attempt, open);
+}
+
 void request_task::abandon(const fanout::abandon_action& action) {
   const auto found = open_attempts_.find(action.attempt);
   if (found == open_attempts_.end()) return;
-  open_attempt& open = found->second;
-  open.abandoned = true;
-  const time_point now = steady_clock::now();
+  found->second.abandoned = true;
+  start_drain_timer(steady_clock::now(), action.attempt, found->second);
+}
+
+void request_task::start_drain_timer(time_point now, leafs::attempt_id attempt,
+                                     open_attempt& open) {
   const duration drain_time =
       context_.leafs.expected_time(now, open.leaf, route_.name) * drain_factor;
   time_point close_at =
       std::max(open.sent_at + std::max(drain_time, min_drain_time), now);
-  if (!exchange_) close_at = std::min(close_at, now + caller_left_drain);
-  open.drain_timer = context_.timers.at(
-      close_at, [self = shared_from_this(), attempt = action.attempt] {
-        const auto found_attempt = self->open_attempts_.find(attempt);
-        if (found_attempt == self->open_attempts_.end()) return;
-        found_attempt->second.drain_timer = {};
-        found_attempt->second.call.close();
+  if (caller_left_at_) {
+    close_at = std::min(close_at, *caller_left_at_ + caller_left_drain);
+  }
+  context_.timers.cancel(open.drain_timer);
+  open.drain_timer =
+      context_.timers.at(close_at, [self = shared_from_this(), attempt] {
+        const auto found = self->open_attempts_.find(attempt);
+        if (found == self->open_attempts_.end()) return;
+        found->second.drain_timer = {};
+        found->second.call.close();
       });
 }
 
--- a/packages/tier/src/request_task.hpp
+++ b/packages/tier/src/request_task.hpp
@@ -73,7 +73,11 @@
   void update_wait_queues(const fanout::actions& actions);
   void perform(fanout::actions actions);
   void send(const fanout::send_action& action);
+  void on_caller_left();
   void abandon(const fanout::abandon_action& action);
+  /// Sets when to close the connection of an abandoned attempt.
+  void start_drain_timer(time_point now, leafs::attempt_id attempt,
+                         open_attempt& open);
   void on_attempt_ended(leafs::attempt_id attempt, pool_result result);
   void apply_report(time_point now, const open_attempt& open,
                     const leafs::leaf_report& report);
@@ -94,6 +98,8 @@
   time_point received_at_;
   /// When the caller stops waiting; leafs are sent the remaining time.
   time_point caller_deadline_;
+  /// When the caller disconnected before it had a response.
+  std::optional<time_point> caller_left_at_;
   fanout::execution execution_;
   waiting::leaf_picker picker_;
   std::unordered_map<leafs::attempt_id, open_attempt> open_attempts_;
