replica, tier, platform: positions in the store are an era and a revision

The store may be restored from an older copy. Revisions then go back and are assigned again, so that a daemon's copy ignored what was written after the restore and never matched the store again.

A position is an era and a revision, packed into the one number that daemons already send. The reader takes the era from each answer, lists again in a later era, and treats an answer of an earlier one, or without a valid era, like a failed call. Records that a new era lacks stay in use for 2.5 s; records that the copy knew as removed stay removed until they are written again, for 4 s at most. Without the header every position has era 0 and equals the revision.

--- a/packages/replica/include/medlarloft/replica.hpp
+++ b/packages/replica/include/medlarloft/replica.hpp
@@ -5,7 +5,11 @@
 /// record is never replaced by an older one. Records that expired while the
 /// store was unreachable stay in use until their owners had time to register
 /// again.
+///
+/// The store may be restored from an older copy, which begins a new era of it:
+/// what was written last is lost, and revisions are assigned again.
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -18,13 +22,46 @@
 
 namespace medlarloft::replica {
 
-/// Number of a change in the store; later changes have greater numbers.
+/// Number of a change in the store; within an era, later changes have greater
+/// numbers.
 using revision = std::uint64_t;
+/// Number of times that the store was restored; 0 for a store without eras.
+using era = std::uint16_t;
+
+/// Revisions take the lower bits of a packed position.
+inline constexpr int revision_bits = 48;
+inline constexpr revision max_revision = (revision{1} << revision_bits) - 1;
+
+/// An era of the store and a revision in it, compared in this order. Packed
+/// into one number, which daemons send each other: in era 0 it equals the
+/// revision, as releases without eras expect.
+class position {
+ public:
+  constexpr position() noexcept = default;
+  /// Implicit, since in era 0 a revision is its own packed position.
+  constexpr position(std::uint64_t packed) noexcept : packed_(packed) {}
+  /// `number` is at most `max_revision`.
+  constexpr position(replica::era era, revision number) noexcept
+      : packed_(std::uint64_t{era} << revision_bits | number) {}
+
+  constexpr replica::era era() const noexcept {
+    return static_cast<replica::era>(packed_ >> revision_bits);
+  }
+  constexpr revision number() const noexcept { return packed_ & max_revision; }
+  constexpr std::uint64_t packed() const noexcept { return packed_; }
+
+  friend constexpr auto operator<=>(position, position) = default;
+
+ private:
+  std::uint64_t packed_ = 0;
+};
 
 /// A new value of one record, or its removal.
 struct change {
   std::string key;
-  revision changed_revision = 0;
+  /// The era is that of the copy that holds the record, also if the record was
+  /// written in an earlier era.
+  position changed_at;
   /// Empty if the record was removed.
   std::optional<std::string> value;
 
@@ -51,8 +88,14 @@
     /// Removals within this time after the return of the store are attributed
     /// to the outage.
     duration outage_grace = std::chrono::milliseconds(2500);
-    /// Removals of keys with this prefix are never delayed; empty: no such
-    /// prefix.
+    /// How long records that a new era of the store lacks stay in use, so that
+    /// their owners can write them again.
+    duration lost_record_delay = std::chrono::milliseconds(2500);
+    /// How long records that this copy knew as removed, and that a new era of
+    /// the store still holds, stay removed unless they are written again.
+    duration returned_record_delay = std::chrono::seconds(4);
+    /// Removals of keys with this prefix are never delayed, except for those of
+    /// lost records; empty: no such prefix.
     std::string immediate_prefix;
     /// Removals kept for peers that missed them. With more, all are dropped,
     /// and peers that lack one of them get a full listing.
@@ -61,46 +104,71 @@
 
   explicit store_copy(options settings) : options_(std::move(settings)) {}
 
-  /// Applies changes after which the copy reflects the revision `up_to`.
+  /// Applies changes after which the copy reflects the position `up_to`.
+  /// Changes of another era than the copy's are ignored: they are late, or a
+  /// full listing is needed first.
   std::vector<update> apply(time_point now, const std::vector<change>& changes,
-                            revision up_to);
+                            position up_to);
 
-  /// Applies a full listing that is complete at least as of the revision
+  /// Applies a full listing that is complete at least as of the position
   /// `as_of`: records that it lacks and that did not change later are removed.
+  /// A listing of an earlier era is ignored.
   std::vector<update> apply_listing(time_point now,
                                     const std::vector<change>& listing,
-                                    revision as_of);
+                                    position as_of);
 
   /// Sets whether the store recently answered any daemon.
   void set_store_reachable(time_point now, bool reachable);
 
-  /// Removes records whose removal delay has passed.
+  /// Removes records whose removal delay has passed, and uses returned records
+  /// whose delay has passed.
   std::vector<update> tick(time_point now);
-  /// Returns when `tick` must be called next; nothing while no removal is
-  /// delayed or the store is unreachable.
+  /// Returns when `tick` must be called next; nothing while nothing is delayed.
+  /// Removals are not due while the store is unreachable.
   std::optional<time_point> next_tick() const;
 
-  /// The changes after a revision, or a full listing if some of them are no
-  /// longer kept.
+  /// The changes after a position, or a full listing if some of them are no
+  /// longer kept or the position is of an earlier era.
   struct delta {
-    revision last_revision = 0;
+    position last_position;
     /// Whether `changes` is a full listing.
     bool listing = false;
     std::vector<change> changes;
   };
-  delta changes_since(revision known_revision) const;
+  delta changes_since(position known) const;
 
-  revision last_revision() const noexcept { return last_revision_; }
+  position last_position() const noexcept { return last_position_; }
   std::size_t size() const noexcept { return records_.size(); }
 
  private:
+  /// A value of the store that is not used before a time.
+  struct returned_value {
+    std::string value;
+    time_point use_at;
+  };
   struct record {
-    revision changed_revision = 0;
+    position changed_at;
+    /// The value in use.
     std::optional<std::string> value;
     /// Set while the record is removed from the store but still in use.
     std::optional<time_point> remove_at;
+    /// The record is missing in the store since a restore of it.
+    bool lost = false;
+    /// Set while the store holds the record again and it is not used yet.
+    std::optional<returned_value> returned;
+
+    bool removed() const noexcept { return !value || remove_at; }
   };
 
+  /// Replaces the copy by the first listing of a new era.
+  std::vector<update> begin_era(time_point now,
+                                const std::vector<change>& listing,
+                                position as_of);
+  void restore_record(time_point now, const change& listed, position as_of,
+                      std::vector<update>& updates);
+  static void set_value(const std::string& key, record& stored,
+                        const std::string& value, std::vector<update>& updates);
+
   void apply_change(time_point now, const change& incoming,
                     std::vector<update>& updates);
   void remove(time_point now, const std::string& key, record& stored,
@@ -110,9 +178,9 @@
 
   options options_;
   std::map<std::string, record, std::less<>> records_;
-  revision last_revision_ = 0;
-  /// Removals up to this revision are no longer kept.
-  revision pruned_up_to_ = 0;
+  position last_position_;
+  /// Removals up to this position are no longer kept.
+  position pruned_up_to_;
   bool store_unreachable_ = false;
   std::optional<time_point> reachable_since_;
 };
--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -105,7 +105,8 @@
   std::string name;
 };
 
-/// One page of the listing of all records.
+/// One page of the listing of all records. The era of the positions in a page
+/// is 0; the reader of the store sets it.
 struct listing_page {
   std::vector<replica::change> records;
   /// The store's revision when it was read.
@@ -172,6 +173,11 @@
       read_listing;
   std::function<result<changes_page, adapter_error>(std::string_view)>
       read_changes;
+  /// Returns the era that a response of the store states, or nothing if it
+  /// states none.
+  std::function<result<std::optional<replica::era>, adapter_error>(
+      const http::message&)>
+      read_store_era;
   /// Prefix of the keys that operators write.
   std::string operator_prefix;
   std::function<parsed_key(std::string_view key)> parse_key;
--- a/packages/tier/src/change_codec.cpp
+++ b/packages/tier/src/change_codec.cpp
@@ -13,7 +13,7 @@
 replica::change decode_change(wire::Change::Reader reader) {
   const auto key = reader.getKey();
   replica::change change{.key = {key.begin(), key.size()},
-                         .changed_revision = reader.getChangedAt()};
+                         .changed_at = reader.getChangedAt()};
   if (reader.getRemoved()) return change;
   const auto value = reader.getValue();
   change.value.emplace(value.asChars().begin(), value.size());
@@ -29,7 +29,7 @@
   for (unsigned i = 0; i < list.size(); ++i) {
     const replica::change& change = changes[i];
     list[i].setKey(change.key);
-    list[i].setChangedAt(change.changed_revision);
+    list[i].setChangedAt(change.changed_at.packed());
     list[i].setRemoved(!change.value);
     if (!change.value) continue;
     list[i].setValue(
--- a/packages/tier/src/change_distribution.cpp
+++ b/packages/tier/src/change_distribution.cpp
@@ -24,8 +24,8 @@
 
 std::vector<notes::release_note> make_notes(
     const replica::store_copy::delta& delta, notes::note_version from) {
-  if (delta.last_revision <= from) return {};
-  return {{.version = delta.last_revision,
+  if (delta.last_position <= replica::position(from)) return {};
+  return {{.version = delta.last_position.packed(),
            .base = delta.listing ? listing_base : from,
            .text = encode_changes(delta.changes)}};
 }
@@ -88,7 +88,7 @@
   const bool newer_report =
       (answers_join || now >= ignore_reports_until_) &&
       readers_.handle_report(
-          now, {.revision = received.version, .age = received.store_age});
+          now, {.position = received.version, .age = received.store_age});
   const bool reader_failing =
       readers_.set_failing(now, received.from, received.store_failing);
   membership::outputs from_group = members_.receive(now, received);
@@ -107,17 +107,22 @@
 void change_distribution::apply_notes(
     time_point now, outputs& out, const membership::received_notes& received) {
   for (const notes::release_note& note : received.chain) {
-    const replica::revision held = hooks_.copy_revision();
+    const replica::position held = hooks_.copy_position();
+    const replica::position base = note.base;
+    const replica::position version = note.version;
     const bool listing = note.base == listing_base;
-    // Changes after a revision that this copy lacks would leave a gap.
-    if (note.version <= held || (!listing && note.base > held)) continue;
+    // Changes after a position that this copy lacks would leave a gap, and
+    // those of another era than the copy's say nothing about it.
+    const bool follows = base <= held && base.era() == version.era() &&
+                         held.era() == version.era();
+    if (version <= held || (!listing && !follows)) continue;
     auto changes = decode_changes(note.text);
     if (!changes) {
       hooks_.on_malformed(received.from, note.version);
       continue;
     }
     hooks_.apply(now,
-                 {.last_revision = note.version,
+                 {.last_position = note.version,
                   .listing = listing,
                   .changes = std::move(*changes)},
                  received.from);
@@ -126,9 +131,10 @@
 }
 
 change_distribution::outputs change_distribution::on_store_read(
-    time_point now, replica::revision revision, bool is_latest) {
+    time_point now, replica::position position, bool is_latest) {
   outputs out;
-  if (is_latest) readers_.confirm_copy(now, revision);
+  if (position.era() != hooks_.copy_position().era()) return out;
+  if (is_latest) readers_.confirm_copy(now, position);
   publish(now, out, id_);
   return out;
 }
@@ -137,18 +143,19 @@
 // which their distribution began.
 void change_distribution::publish(time_point now, outputs& out,
                                   const std::string& root) {
-  const replica::revision revision = hooks_.copy_revision();
-  readers_.set_copy_revision(revision);
+  const replica::position position = hooks_.copy_position();
+  readers_.set_copy_position(position);
   const bool read_from_store = root == id_;
   // The store answered without changes; only that is reported to the others.
-  if (revision == published_revision_) {
+  if (position == published_position_) {
     collect(now, out, members_.broadcast_status(root, read_from_store));
     return;
   }
-  published_revision_ = revision;
-  // A revision has exactly one content, so it also serves as the digest.
+  published_position_ = position;
+  // A position has exactly one content, so it also serves as the digest.
   collect(now, out,
-          members_.set_note(now, revision, revision, root, read_from_store));
+          members_.set_note(now, position.packed(), position.packed(), root,
+                            read_from_store));
 }
 
 // A reader without an answer reports this repeatedly, so that another daemon
--- a/packages/tier/src/change_distribution.hpp
+++ b/packages/tier/src/change_distribution.hpp
@@ -23,16 +23,16 @@
     time_point started_at{};
   };
   struct hooks {
-    /// Returns the changes of this daemon's copy after a revision.
-    std::function<replica::store_copy::delta(replica::revision)> changes_since;
-    /// Returns the revision of this daemon's copy.
-    std::function<replica::revision()> copy_revision;
+    /// Returns the changes of this daemon's copy after a position.
+    std::function<replica::store_copy::delta(replica::position)> changes_since;
+    /// Returns the position of this daemon's copy.
+    std::function<replica::position()> copy_position;
     /// Applies what another daemon sent to this daemon's copy.
     std::function<void(time_point now, const replica::store_copy::delta& delta,
                        std::string_view source)>
         apply;
     /// A message of another daemon held changes that cannot be decoded.
-    std::function<void(std::string_view source, replica::revision revision)>
+    std::function<void(std::string_view source, replica::position position)>
         on_malformed;
   };
   /// Messages to send and changes of members since the last call.
@@ -55,9 +55,9 @@
 
   /// The store answered a call of this daemon.
   void on_store_answer(time_point now) { readers_.store_answered(now); }
-  /// This daemon's copy was brought up to `revision` by reading the store. With
+  /// This daemon's copy was brought up to `position` by reading the store. With
   /// `is_latest`, the store had no later changes.
-  outputs on_store_read(time_point now, replica::revision revision,
+  outputs on_store_read(time_point now, replica::position position,
                         bool is_latest);
   /// Sets whether the store fails to answer this daemon, which reads it. While
   /// it fails, the other daemons are told repeatedly.
@@ -81,8 +81,8 @@
   hooks hooks_;
   reader_selection readers_;
   membership::group members_;
-  /// Revision of the last changes sent to the other daemons.
-  replica::revision published_revision_ = 0;
+  /// Position of the last changes sent to the other daemons.
+  replica::position published_position_;
   bool store_failing_ = false;
   /// Until then, reports are ignored unless they answer a new join.
   time_point ignore_reports_until_{};
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -139,19 +139,25 @@
       platform,
       store_reader::hooks{
           .on_changes =
-              [this](const changes_page& page) {
+              [this](const changes_page& page, replica::position up_to) {
                 check_pause();
                 const time_point now = steady_clock::now();
-                view.apply(now, page.changes, page.revision, "store");
+                view.apply(now, page.changes, up_to, "store");
                 apply_group_outputs(distribution->on_store_read(
-                    now, page.revision, !page.may_have_more));
+                    now, up_to, !page.may_have_more));
               },
           .on_listing =
-              [this](const auto& listing, replica::revision revision) {
+              [this](const auto& listing, replica::position position) {
                 const time_point now = steady_clock::now();
-                view.apply_listing(now, listing, revision, "store");
+                view.apply_listing(now, listing, position, "store");
                 apply_group_outputs(
-                    distribution->on_store_read(now, revision, true));
+                    distribution->on_store_read(now, position, true));
+              },
+          .copy_position = [this] { return view.records().last_position(); },
+          .on_invalid_era =
+              [this](const std::string& reason, replica::era known) {
+                log.write("store_era_invalid",
+                          {{"reason", reason}, {"known_era", known}});
               },
           .on_answer =
               [this] { distribution->on_store_answer(steady_clock::now()); },
@@ -163,9 +169,10 @@
               },
           .on_reachability_changed =
               [this](bool reachable, const std::string& reason) {
-                log.write(reachable ? "store_regained" : "store_lost",
-                          {{"reason", reason},
-                           {"revision", view.records().last_revision()}});
+                log.write(
+                    reachable ? "store_regained" : "store_lost",
+                    {{"reason", reason},
+                     {"revision", view.records().last_position().number()}});
                 store_failing = !reachable;
                 report_store_failure(steady_clock::now());
               }});
@@ -223,19 +230,19 @@
           .started_at = started_at},
       change_distribution::hooks{
           .changes_since =
-              [this](replica::revision from) {
+              [this](replica::position from) {
                 return view.records().changes_since(from);
               },
-          .copy_revision = [this] { return view.records().last_revision(); },
+          .copy_position = [this] { return view.records().last_position(); },
           .apply =
               [this](time_point now, const replica::store_copy::delta& delta,
                      std::string_view source) {
                 apply_peer_changes(now, delta, source);
               },
           .on_malformed =
-              [this](std::string_view source, replica::revision revision) {
+              [this](std::string_view source, replica::position position) {
                 log.write("changes_not_read",
-                          {{"from", source}, {"revision", revision}});
+                          {{"from", source}, {"revision", position.number()}});
               }});
   link = std::make_shared<peer_link>(
       loop, timers, daemon_settings.listen.control,
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -42,19 +42,20 @@
       chain.begin(), chain.end(), std::size_t{0},
       [](std::size_t sum, const auto& note) { return sum + note.text.size(); });
   if (bytes < large_changes_bytes) return;
-  log.write("changes_sent", {{"to", envelope.to_id},
-                             {"bytes", bytes},
-                             {"revision", envelope.message.version},
-                             {"requested", envelope.message.root.empty()}});
+  log.write("changes_sent",
+            {{"to", envelope.to_id},
+             {"bytes", bytes},
+             {"revision", replica::position(envelope.message.version).number()},
+             {"requested", envelope.message.root.empty()}});
 }
 
 void daemon::state::apply_peer_changes(time_point now,
                                        const replica::store_copy::delta& delta,
                                        std::string_view source) {
   if (delta.listing) {
-    view.apply_listing(now, delta.changes, delta.last_revision, source);
+    view.apply_listing(now, delta.changes, delta.last_position, source);
   } else {
-    view.apply(now, delta.changes, delta.last_revision, source);
+    view.apply(now, delta.changes, delta.last_position, source);
   }
 }
 
@@ -70,9 +71,9 @@
       distribution->should_read_store(now, data_centres.size());
   if (should_read != store->active()) {
     log.write(should_read ? "store_reading_begins" : "store_reading_ends",
-              {{"revision", view.records().last_revision()},
+              {{"revision", view.records().last_position().number()},
                {"fresh", readers.is_fresh(now)}});
-    store->set_active(should_read, view.records().last_revision());
+    store->set_active(should_read, view.records().last_position());
   }
   timers.after(view.ready() ? selection_period : initial_selection_period,
                [this] { update_reader_selection(); });
@@ -107,7 +108,7 @@
   apply_group_outputs(distribution->reset_after_pause(now));
   if (!store->active()) return;
   store->set_active(false, 0);
-  store->set_active(true, view.records().last_revision());
+  store->set_active(true, view.records().last_position());
 }
 
 bool daemon::state::holds_requests() {
@@ -136,7 +137,9 @@
   metrics.set(counter::peer_bytes, link->sent_bytes());
   metrics.set(gauge::configuration_version,
               view.ready() ? to_double(view.table()->version()) : 0.0);
-  metrics.set(gauge::store_revision, to_double(view.records().last_revision()));
+  const replica::position position = view.records().last_position();
+  metrics.set(gauge::store_revision, to_double(position.number()));
+  metrics.set(gauge::store_era, to_double(position.era()));
   metrics.set(gauge::store_age_seconds,
               seconds(distribution->readers().copy_age(now)).count());
   metrics.set(gauge::members, to_double(quota.daemon_count()));
--- a/packages/tier/src/daemon_metrics.cpp
+++ b/packages/tier/src/daemon_metrics.cpp
@@ -20,12 +20,19 @@
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(gauge::gauge_count)>
-    gauge_names{"configuration_version", "store_revision",
-                "store_age_seconds",     "members",
-                "leafs_usable",          "leafs_ejected",
-                "leafs_limited",         "leafs_paused",
-                "leafs_leaving",         "leaf_requests_open",
-                "requests_running",      "requests_waiting",
+    gauge_names{"configuration_version",
+                "store_revision",
+                "store_era",
+                "store_age_seconds",
+                "members",
+                "leafs_usable",
+                "leafs_ejected",
+                "leafs_limited",
+                "leafs_paused",
+                "leafs_leaving",
+                "leaf_requests_open",
+                "requests_running",
+                "requests_waiting",
                 "loop_lag_seconds"};
 
 }  // namespace
--- a/packages/tier/src/daemon_metrics.hpp
+++ b/packages/tier/src/daemon_metrics.hpp
@@ -40,7 +40,8 @@
 /// Values as of now, set just before they are read.
 enum class gauge : std::uint8_t {
   configuration_version,
-  store_revision,
+  store_revision,      // within the era
+  store_era,           // how often the store was restored
   store_age_seconds,   // since the store last answered some daemon
   members,             // daemons that shared limits are divided among
   leafs_usable,        // may be sent requests
--- a/packages/tier/src/reader_selection.cpp
+++ b/packages/tier/src/reader_selection.cpp
@@ -21,10 +21,13 @@
   if (report.age == membership::unknown_store_age) return false;
   const time_point current_at = now - report.age;
   answered_at_ = std::max(answered_at_.value_or(current_at), current_at);
-  if (report.revision > copy_revision_) {
-    const pending_report pending{report.revision, current_at};
+  // A daemon that has not yet noticed a restore of the store reports what the
+  // store held before.
+  if (report.position.era() < copy_position_.era()) return false;
+  if (report.position > copy_position_) {
+    const pending_report pending{report.position, current_at};
     if (!first_pending_) first_pending_ = pending;
-    if (!last_pending_ || pending.revision >= last_pending_->revision) {
+    if (!last_pending_ || pending.position >= last_pending_->position) {
       last_pending_ = pending;
     }
     return false;
@@ -39,23 +42,24 @@
   answered_at_ = now;
 }
 
-void reader_selection::set_copy_revision(replica::revision revision) {
-  copy_revision_ = std::max(copy_revision_, revision);
-  if (first_pending_ && first_pending_->revision <= copy_revision_) {
-    confirm_at(first_pending_->current_at);
-    first_pending_.reset();
-  }
-  if (last_pending_ && last_pending_->revision <= copy_revision_) {
-    confirm_at(last_pending_->current_at);
-    last_pending_.reset();
-  }
+void reader_selection::resolve(std::optional<pending_report>& pending) {
+  if (!pending || pending->position > copy_position_) return;
+  if (pending->position.era() == copy_position_.era())
+    confirm_at(pending->current_at);
+  pending.reset();
+}
+
+void reader_selection::set_copy_position(replica::position position) {
+  copy_position_ = std::max(copy_position_, position);
+  resolve(first_pending_);
+  resolve(last_pending_);
   if (!first_pending_) first_pending_ = last_pending_;
 }
 
 void reader_selection::confirm_copy(time_point now,
-                                    replica::revision revision) {
+                                    replica::position position) {
   store_answered(now);
-  set_copy_revision(revision);
+  set_copy_position(position);
   confirm_at(now);
 }
 
@@ -129,7 +133,8 @@
   if (now < started_at_ + options_.startup_delay && !confirmed_at_)
     return false;
   // The first listing takes longer to arrive than the first reports.
-  const bool first_listing_due = copy_revision_ == 0 && store_answers(now) &&
+  const bool first_listing_due = copy_position_ == replica::position{} &&
+                                 store_answers(now) &&
                                  now < started_at_ + options_.stale_after;
   if (!is_fresh(now) && !first_listing_due) {
     takeover_until_ =
--- a/packages/tier/src/reader_selection.hpp
+++ b/packages/tier/src/reader_selection.hpp
@@ -17,7 +17,7 @@
 /// A daemon's statement about its copy: it holds all changes up to `revision`,
 /// and `age` ago the store had no later ones.
 struct copy_report {
-  replica::revision revision = 0;
+  replica::position position;
   std::chrono::milliseconds age = membership::unknown_store_age;
 };
 
@@ -53,15 +53,16 @@
       : options_(settings), started_at_(started_at) {}
 
   /// Handles another daemon's report. It confirms the copy of this daemon only
-  /// once that holds the reported revision too: a report may overtake changes
-  /// that were lost. Returns whether the report should be forwarded.
+  /// once that holds the reported position too: a report may overtake changes
+  /// that were lost. A report of another era than the copy's never confirms it.
+  /// Returns whether the report should be forwarded.
   bool handle_report(time_point now, const copy_report& report);
   /// The store answered this daemon, possibly without any changes.
   void store_answered(time_point now);
-  /// The copy of this daemon holds all changes up to `revision`.
-  void set_copy_revision(replica::revision revision);
-  /// The store told this daemon that `revision` is its latest.
-  void confirm_copy(time_point now, replica::revision revision);
+  /// The copy of this daemon holds all changes up to `position`.
+  void set_copy_position(replica::position position);
+  /// The store told this daemon that `position` is its latest.
+  void confirm_copy(time_point now, replica::position position);
   /// The store does not answer `reader`, or answers it again. While it fails,
   /// the next daemon of its data centre reads. Returns whether this should be
   /// reported to others.
@@ -87,19 +88,21 @@
                    std::size_t data_centres);
 
  private:
-  /// A report about a revision that this daemon's copy lacks.
+  /// A report about a position that this daemon's copy lacks.
   struct pending_report {
-    replica::revision revision = 0;
+    replica::position position;
     time_point current_at;
   };
+  /// Confirms the copy by a pending report that it holds now.
+  void resolve(std::optional<pending_report>& pending);
   void confirm_at(time_point current_at);
 
   options options_;
   time_point started_at_;
-  replica::revision copy_revision_ = 0;
+  replica::position copy_position_;
   /// When this daemon's copy was last known to be current.
   std::optional<time_point> confirmed_at_;
-  /// The pending reports with the lowest and the highest revision.
+  /// The pending reports with the lowest and the highest position.
   std::optional<pending_report> first_pending_;
   std::optional<pending_report> last_pending_;
   /// When the store last answered any daemon.
--- a/packages/tier/src/store_reader.cpp
+++ b/packages/tier/src/store_reader.cpp
@@ -1,5 +1,8 @@
 #include "store_reader.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 namespace medlarloft::tier {
 namespace {
 
@@ -8,6 +11,12 @@
 /// Far above the responses of the store.
 constexpr std::size_t max_store_response_bytes = std::size_t{16} << 20;
 
+// Sets the era of the changes that an answer of the store holds.
+void set_era(std::vector<replica::change>& changes, replica::era era) {
+  for (replica::change& each : changes)
+    each.changed_at = {era, each.changed_at.number()};
+}
+
 }  // namespace
 
 store_reader::store_reader(http::io_context& loop, loop::timer_queue& timers,
@@ -28,7 +37,7 @@
   if (connection_) connection_->close();
 }
 
-void store_reader::set_active(bool active, replica::revision known) {
+void store_reader::set_active(bool active, replica::position known) {
   if (active == active_) return;
   active_ = active;
   if (!active) {
@@ -40,9 +49,11 @@
     reachability_reported_ = false;
     return;
   }
-  if (known > 0) {
-    listed_ = true;
-    revision_ = std::max(revision_, known);
+  // A copy of an earlier era than this reader's cannot be brought forward by
+  // changes.
+  if (known > replica::position{}) {
+    listed_ = known.era() >= position_.era();
+    position_ = std::max(position_, known);
   }
   call_next();
 }
@@ -59,7 +70,7 @@
     call(platform_.listing_target(after_key), listing_timeout());
     return;
   }
-  call(platform_.changes_target(revision_, options_.long_poll_timeout),
+  call(platform_.changes_target(position_.number(), options_.long_poll_timeout),
        options_.long_poll_timeout + options_.call_timeout);
 }
 
@@ -122,57 +133,110 @@
     return;
   }
   const http::message& response = result.value().response;
-  if (response.status == status_gone) {
-    listed_ = false;
-    listing_.clear();
-    handle_success();
-    call_next();
-    return;
-  }
-  if (response.status != status_ok) {
+  if (response.status != status_ok && response.status != status_gone) {
     handle_failure("status " + std::to_string(response.status));
     return;
   }
-  if (!listed_) {
-    const auto page = platform_.read_listing(response.body);
-    if (page) {
-      handle_listing_page(page.value());
-    } else {
-      handle_failure(page.error().text);
-    }
+  const auto era = read_era(response);
+  if (!era) {
+    // Without the history the same call would fail again; the listing tells in
+    // which era the store is.
+    if (response.status == status_gone) listed_ = false;
+    handle_failure("answer without a valid era");
     return;
   }
-  const auto page = platform_.read_changes(response.body);
-  if (!page) {
+  // A listing may begin in any era; what follows it must be of the same one.
+  const bool begins_listing = !listed_ && listing_.empty();
+  if (*era > position_.era() && !begins_listing) {
+    begin_era(*era);
+  } else if (response.status == status_gone) {
+    listed_ = false;
+    listing_.clear();
+    handle_success();
+    call_next();
+  } else if (!listed_) {
+    handle_listing(response, *era);
+  } else {
+    handle_changes(response);
+  }
+}
+
+// An answer of an earlier era is late. One that states no era cannot be told
+// from a late one once the store is known to have eras.
+std::optional<replica::era> store_reader::read_era(
+    const http::message& response) {
+  const replica::era known =
+      std::max(position_.era(), hooks_.copy_position().era());
+  const auto stated = platform_.read_store_era(response);
+  if (stated && stated.value().value_or(0) >= known)
+    return stated.value().value_or(0);
+  hooks_.on_invalid_era(
+      stated ? (stated.value() ? "earlier" : "missing") : stated.error().text,
+      known);
+  if (known > 0) return std::nullopt;
+  return replica::era{0};
+}
+
+// Another daemon may have listed the store in this era already. Otherwise this
+// reader lists it, since changes after a position of an earlier era mean
+// nothing.
+void store_reader::begin_era(replica::era era) {
+  const replica::position copy = hooks_.copy_position();
+  listing_.clear();
+  listed_ = copy.era() == era;
+  position_ = listed_ ? copy : replica::position{era, 0};
+  handle_success();
+  call_next();
+}
+
+void store_reader::handle_listing(const http::message& response,
+                                  replica::era era) {
+  auto page = platform_.read_listing(response.body);
+  if (page) {
+    handle_listing_page(std::move(page).value(), era);
+  } else {
     handle_failure(page.error().text);
+  }
+}
+
+void store_reader::handle_changes(const http::message& response) {
+  auto read = platform_.read_changes(response.body);
+  if (!read) {
+    handle_failure(read.error().text);
     return;
   }
+  changes_page& page = read.value();
   handle_success();
-  const bool advanced = page.value().revision > revision_;
-  revision_ = std::max(revision_, page.value().revision);
-  hooks_.on_changes(page.value());
+  const replica::position up_to{position_.era(), page.revision};
+  set_era(page.changes, position_.era());
+  const bool advanced = up_to > position_;
+  position_ = std::max(position_, up_to);
+  hooks_.on_changes(page, up_to);
   // A pause after a full page would let the store get ahead for good when it
   // changes faster than one page for each pause.
-  if (page.value().changes.empty() ||
-      (page.value().may_have_more && advanced)) {
+  if (page.changes.empty() || (page.may_have_more && advanced)) {
     call_next();
   } else {
     schedule_next_call(hooks_.pause_after_changes());
   }
 }
 
-void store_reader::handle_listing_page(const listing_page& page) {
+void store_reader::handle_listing_page(listing_page page, replica::era era) {
   handle_success();
-  if (listing_.empty()) listing_revision_ = page.revision;
-  listing_.insert(listing_.end(), page.records.begin(), page.records.end());
+  if (listing_.empty()) {
+    listing_position_ = {era, page.revision};
+    position_ = std::max(position_, replica::position{era, 0});
+  }
+  set_era(page.records, era);
+  std::ranges::move(page.records, std::back_inserter(listing_));
   if (page.has_more && !page.records.empty()) {
     call_next();
     return;
   }
   listed_ = true;
   ever_listed_ = true;
-  revision_ = listing_revision_;
-  hooks_.on_listing(std::exchange(listing_, {}), listing_revision_);
+  position_ = listing_position_;
+  hooks_.on_listing(std::exchange(listing_, {}), listing_position_);
   call_next();
 }
 
--- a/packages/tier/src/store_reader.hpp
+++ b/packages/tier/src/store_reader.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
 /// Follows the platform's store: lists all records once, then reads changes by
-/// long polling. After a failure it continues from the last revision; it lists
-/// again only when the store no longer has the history.
+/// long polling. After a failure it continues from the last position; it lists
+/// again only when the store no longer has the history, or was restored from an
+/// older copy, which begins a new era.
 
 #include <functional>
 #include <memory>
@@ -34,9 +35,17 @@
     std::uint64_t seed = 1;
   };
   struct hooks {
-    std::function<void(const changes_page&)> on_changes;
-    std::function<void(const std::vector<replica::change>&, replica::revision)>
+    /// Changes up to a position.
+    std::function<void(const changes_page&, replica::position up_to)>
+        on_changes;
+    std::function<void(const std::vector<replica::change>&, replica::position)>
         on_listing;
+    /// Returns the position of the daemon's copy, which other daemons may have
+    /// brought to a later era than this reader knows.
+    std::function<replica::position()> copy_position;
+    /// An answer is not used, or not used as of the era that it states.
+    std::function<void(const std::string& reason, replica::era known)>
+        on_invalid_era;
     /// The store answered a call.
     std::function<void()> on_answer;
     /// Returns how long to wait after a call that returned the latest changes,
@@ -53,9 +62,9 @@
   store_reader(const store_reader&) = delete;
   store_reader& operator=(const store_reader&) = delete;
 
-  /// Starts or stops reading. `known` is the revision of the daemon's copy, or
+  /// Starts or stops reading. `known` is the position of the daemon's copy, or
   /// 0 if it has none and all records must be listed.
-  void set_active(bool active, replica::revision known);
+  void set_active(bool active, replica::position known);
   bool active() const noexcept { return active_; }
   /// Gives up a connection that is still being opened, so that another one is
   /// tried. Has no effect while a call or a pause is timed.
@@ -68,7 +77,13 @@
   void call(std::string target, duration timeout);
   void send(const std::string& target, duration timeout);
   void handle_response(const http::response_result& result);
-  void handle_listing_page(const listing_page& page);
+  /// Returns the era of an answer, or nothing if the answer must not be used.
+  std::optional<replica::era> read_era(const http::message& response);
+  /// Goes on in a later era than the reader's.
+  void begin_era(replica::era era);
+  void handle_listing(const http::message& response, replica::era era);
+  void handle_listing_page(listing_page page, replica::era era);
+  void handle_changes(const http::message& response);
   void handle_failure(const std::string& reason);
   void handle_success();
   void schedule_next_call(duration delay);
@@ -83,14 +98,15 @@
   http_connection connection_;
   loop::timer_queue::handle timer_;
   bool active_ = false;
-  /// Whether `revision_` is known, so that the changes after it can be read.
+  /// Whether `position_` is known, so that the changes after it can be read.
   bool listed_ = false;
   /// Whether this reader has completed a listing itself.
   bool ever_listed_ = false;
   duration next_timeout_;
   std::vector<replica::change> listing_;
-  replica::revision listing_revision_ = 0;
-  replica::revision revision_ = 0;
+  /// Of the first page of the listing.
+  replica::position listing_position_;
+  replica::position position_;
   duration backoff_;
   bool reachable_ = false;
   bool reachability_reported_ = false;
--- a/packages/tier/src/store_view.cpp
+++ b/packages/tier/src/store_view.cpp
@@ -14,15 +14,26 @@
 
 void store_view::apply(time_point now,
                        const std::vector<replica::change>& changes,
-                       replica::revision revision, std::string_view source) {
-  apply_updates(now, records_.apply(now, changes, revision), source);
+                       replica::position position, std::string_view source) {
+  apply_updates(now, records_.apply(now, changes, position), source);
 }
 
 void store_view::apply_listing(time_point now,
                                const std::vector<replica::change>& listing,
-                               replica::revision revision,
+                               replica::position position,
                                std::string_view source) {
-  apply_updates(now, records_.apply_listing(now, listing, revision), source);
+  const replica::position before = records_.last_position();
+  const bool restored =
+      before > replica::position{} && position.era() > before.era();
+  const auto updates = records_.apply_listing(now, listing, position);
+  if (restored) {
+    log_.write("store_restored", {{"from_era", before.era()},
+                                  {"to_era", position.era()},
+                                  {"from_revision", before.number()},
+                                  {"revision", position.number()},
+                                  {"source", source}});
+  }
+  apply_updates(now, updates, source);
 }
 
 void store_view::set_store_reachable(time_point now, bool reachable) {
@@ -52,19 +63,21 @@
     apply_configuration(std::move(*configuration), source);
   } else if (const auto* leaf = std::get_if<leafs::leaf_registration>(&read)) {
     const leafs::leaf_handle handle = leafs_.put(now, *leaf);
-    log_.write("leaf_registered", {{"leaf", leaf->id},
-                                   {"service", leaf->service},
-                                   {"draining", leaf->draining},
-                                   {"usable", leafs_.usable(handle)},
-                                   {"cold_for", leaf->cold_time_left},
-                                   {"source", source},
-                                   {"revision", records_.last_revision()}});
+    log_.write("leaf_registered",
+               {{"leaf", leaf->id},
+                {"service", leaf->service},
+                {"draining", leaf->draining},
+                {"usable", leafs_.usable(handle)},
+                {"cold_for", leaf->cold_time_left},
+                {"source", source},
+                {"revision", records_.last_position().number()}});
   } else if (const auto* out = std::get_if<data_centre_out>(&read)) {
     data_centres_out_.insert(out->data_centre);
     leafs_.set_data_centres_out(data_centres_out_);
-    log_.write("data_centre_out", {{"data_centre", out->data_centre},
-                                   {"source", source},
-                                   {"revision", records_.last_revision()}});
+    log_.write("data_centre_out",
+               {{"data_centre", out->data_centre},
+                {"source", source},
+                {"revision", records_.last_position().number()}});
   } else {
     // A malformed record removes the leaf that an earlier value described.
     if (platform_.parse_key(update.key).kind == record_kind::leaf) {
@@ -104,7 +117,7 @@
               {"routes", configuration.routes.size()},
               {"accounts", configuration.accounts.size()},
               {"source", source},
-              {"revision", records_.last_revision()}});
+              {"revision", records_.last_position().number()}});
   table_ =
       std::make_shared<const routes::route_table>(std::move(configuration));
   for (const std::string& problem : table_->problems()) {
--- a/packages/tier/src/store_view.hpp
+++ b/packages/tier/src/store_view.hpp
@@ -19,10 +19,10 @@
 
   /// Applies changes that came from the store or from another daemon.
   void apply(time_point now, const std::vector<replica::change>& changes,
-             replica::revision revision, std::string_view source);
+             replica::position position, std::string_view source);
   void apply_listing(time_point now,
                      const std::vector<replica::change>& listing,
-                     replica::revision revision, std::string_view source);
+                     replica::position position, std::string_view source);
   void set_store_reachable(time_point now, bool reachable);
   void tick(time_point now);
 
--- a/packages/tier/tests/change_distribution_test.cpp
+++ b/packages/tier/tests/change_distribution_test.cpp
@@ -184,7 +184,7 @@
       {.group = {.self = self, .seeds = {{"10.0.0.1", 2}}},
        .started_at = start},
       {.changes_since = [](auto) { return replica::store_copy::delta{}; },
-       .copy_revision = [] { return replica::revision{7}; },
+       .copy_position = [] { return replica::revision{7}; },
        .apply = [](auto, const auto&, auto) {},
        .on_malformed = [](auto, auto) {}});
   distribution.on_store_read(start, 7, true);
@@ -236,14 +236,14 @@
             {.group = {.self = {.id = "d0", .data_centre = "z"}}},
             {.changes_since =
                  [&](auto from) { return restarted.changes_since(from); },
-             .copy_revision = [&] { return restarted.last_revision(); },
+             .copy_position = [&] { return restarted.last_position(); },
              .apply =
                  [&](auto now, const auto& delta, auto) {
                    if (delta.listing) {
                      restarted.apply_listing(now, delta.changes,
-                                             delta.last_revision);
+                                             delta.last_position);
                    } else {
-                     restarted.apply(now, delta.changes, delta.last_revision);
+                     restarted.apply(now, delta.changes, delta.last_position);
                    }
                  },
              .on_malformed = [](auto, auto) {}});
@@ -257,11 +257,12 @@
           distribution.receive(
               any_time, {.kind = membership::message_kind::notes,
                          .from = "d1",
-                         .version = delta.last_revision,
-                         .notes = {{.version = delta.last_revision,
+                         .version = delta.last_position.packed(),
+                         .notes = {{.version = delta.last_position.packed(),
                                     .base = listing ? 0 : asked,
                                     .text = encode_changes(delta.changes)}}});
-          RC_ASSERT(contents(restarted) == states[restarted.last_revision()]);
+          RC_ASSERT(contents(restarted) ==
+                    states[restarted.last_position().number()]);
         }
       }));
 }
--- a/packages/tier/tests/reader_selection_test.cpp
+++ b/packages/tier/tests/reader_selection_test.cpp
@@ -203,7 +203,7 @@
     const time_point now = start + seconds(i);
     const replica::revision revision = 10U + static_cast<unsigned>(i);
     EXPECT_FALSE(selection.handle_report(
-        now, {.revision = revision, .age = milliseconds(0)}));
+        now, {.position = revision, .age = milliseconds(0)}));
   }
   EXPECT_TRUE(selection.store_answers(start + seconds(5)));
   EXPECT_FALSE(selection.is_fresh(start + seconds(5)));
@@ -217,14 +217,14 @@
   selection.confirm_copy(start, 10);
   const auto report = [&selection](int second, replica::revision revision) {
     selection.handle_report(start + seconds(second),
-                            {.revision = revision, .age = milliseconds(0)});
+                            {.position = revision, .age = milliseconds(0)});
   };
   report(1, 12);
   report(2, 14);
   report(3, 16);
-  selection.set_copy_revision(12);
+  selection.set_copy_position(12);
   EXPECT_EQ(selection.copy_age(start + seconds(3)), seconds(2));
-  selection.set_copy_revision(16);
+  selection.set_copy_position(16);
   EXPECT_EQ(selection.copy_age(start + seconds(3)), seconds(0));
 }
 
@@ -236,7 +236,7 @@
   EXPECT_FALSE(selection.should_request_changes(start + milliseconds(2400)));
   EXPECT_TRUE(selection.should_request_changes(start + milliseconds(2500)));
   selection.handle_report(start + milliseconds(2600),
-                          {.revision = 10, .age = milliseconds(0)});
+                          {.position = 10, .age = milliseconds(0)});
   EXPECT_FALSE(selection.should_request_changes(start + milliseconds(3100)));
 }
 
--- a/packages/tier/tests/simulated_fleet.hpp
+++ b/packages/tier/tests/simulated_fleet.hpp
@@ -22,6 +22,8 @@
 
 /// The key under which each change of the configuration is stored.
 inline const std::string configuration_key = "configuration";
+/// Prefix of the other keys that operators write.
+inline const std::string operator_prefix = "op/";
 
 class simulated_fleet {
  public:
@@ -45,6 +47,8 @@
     double apply_rate = 0;
     /// Size of a configuration.
     std::size_t configuration_bytes = 0;
+    /// Of records removed from the store.
+    duration removal_delay{};
   };
   /// Whether the store answers a daemon.
   using store_rule = std::function<bool(std::size_t daemon)>;
@@ -80,6 +84,34 @@
   void set_store_delay(duration delay) { store_delay_ = delay; }
   /// The store drops its history: whoever is behind must list all records.
   void drop_history() { oldest_kept_revision_ = revision_; }
+  /// Writes a record to the store, or removes it.
+  void write(const std::string& key, const std::optional<std::string>& value) {
+    write_to_store(key, value);
+  }
+  /// The store is restored from a copy of this age, which begins an era.
+  void restore(duration age) {
+    while (!undo_.empty() && undo_.back().written_at > now_ - age) {
+      undo_entry& last = undo_.back();
+      if (last.previous) {
+        store_[last.key] = std::move(*last.previous);
+      } else {
+        store_.erase(last.key);
+      }
+      --revision_;
+      undo_.pop_back();
+    }
+    ++era_;
+  }
+  replica::position position(std::size_t daemon) const {
+    return daemons_[daemon]->copy.last_position();
+  }
+  /// The value of an operator's record, as the daemon uses it.
+  std::optional<std::string> used(std::size_t daemon,
+                                  const std::string& key) const {
+    const auto found = daemons_[daemon]->used.find(key);
+    if (found == daemons_[daemon]->used.end()) return std::nullopt;
+    return found->second;
+  }
   /// The daemon's process stands still; what is sent to it waits.
   void pause(std::size_t daemon, duration length) {
     daemons_[daemon]->paused_since = now_;
@@ -129,7 +161,7 @@
     return std::ranges::any_of(held, [&](const replica::change& each) {
       const auto stored = store_.find(each.key);
       return each.value && stored != store_.end() && !stored->second.value &&
-             stored->second.changed_revision <= copy.last_revision();
+             stored->second.changed_at <= copy.last_position();
     });
   }
   /// The daemons whose copy has an older configuration than `number`.
@@ -161,6 +193,7 @@
  private:
   static constexpr duration step = milliseconds(10);
   static constexpr duration selection_period = milliseconds(100);
+  static constexpr duration sweep_period = milliseconds(500);
   static constexpr std::uint64_t leafs = 2000;
   /// Changes in one response of the store at most.
   static constexpr std::size_t page_size = 500;
@@ -177,12 +210,23 @@
   struct store_answer {
     time_point arrives_at;
     std::vector<replica::change> changes;
-    replica::revision revision = 0;
+    replica::position position;
     bool full = false;
     bool listing = false;
   };
+  struct undo_entry {
+    time_point written_at;
+    std::string key;
+    std::optional<replica::change> previous;
+  };
   struct daemon {
-    replica::store_copy copy{{}};
+    explicit daemon(duration removal_delay)
+        : copy({.removal_delay = removal_delay}) {}
+
+    replica::store_copy copy;
+    /// The operators' records in use.
+    std::map<std::string, std::string> used;
+    time_point next_sweep;
     std::unique_ptr<change_distribution> distribution;
     int configuration = -1;
     bool reading = false;
@@ -208,11 +252,15 @@
 
   void write_to_store(const std::string& key,
                       const std::optional<std::string>& value) {
-    store_[key] = {.key = key, .changed_revision = ++revision_, .value = value};
+    const auto found = store_.find(key);
+    undo_.push_back(
+        {now_, key,
+         found == store_.end() ? std::nullopt : std::optional(found->second)});
+    store_[key] = {.key = key, .changed_at = ++revision_, .value = value};
   }
 
   std::unique_ptr<daemon> make_daemon(std::size_t index) {
-    auto made = std::make_unique<daemon>();
+    auto made = std::make_unique<daemon>(options_.removal_delay);
     daemon& self = *made;
     made->distribution = std::make_unique<change_distribution>(
         change_distribution::options{
@@ -225,10 +273,10 @@
             .started_at = now_},
         change_distribution::hooks{
             .changes_since =
-                [&self](replica::revision from) {
+                [&self](replica::position from) {
                   return self.copy.changes_since(from);
                 },
-            .copy_revision = [&self] { return self.copy.last_revision(); },
+            .copy_position = [&self] { return self.copy.last_position(); },
             .apply =
                 [this, &self](time_point now,
                               const replica::store_copy::delta& delta,
@@ -236,11 +284,11 @@
                   update(now, self,
                          delta.listing
                              ? self.copy.apply_listing(now, delta.changes,
-                                                       delta.last_revision)
+                                                       delta.last_position)
                              : self.copy.apply(now, delta.changes,
-                                               delta.last_revision));
+                                               delta.last_position));
                 },
-            .on_malformed = [](std::string_view, replica::revision) {}});
+            .on_malformed = [](std::string_view, replica::position) {}});
     made->next_selection =
         now_ +
         random_.below(std::chrono::duration_cast<duration>(selection_period));
@@ -250,6 +298,13 @@
   void update(time_point now, daemon& self,
               const std::vector<replica::update>& news) const {
     for (const replica::update& each : news) {
+      if (each.key.starts_with(operator_prefix)) {
+        if (each.value) {
+          self.used[each.key] = *each.value;
+        } else {
+          self.used.erase(each.key);
+        }
+      }
       if (each.key != configuration_key || !each.value) continue;
       self.configuration = std::max(self.configuration, std::stoi(*each.value));
       if (options_.apply_rate <= 0) continue;
@@ -332,8 +387,14 @@
     if (self.paused_until != time_point{}) wake(index);
     if (self.distribution->next_tick() <= now_)
       send(index, self.distribution->tick(now_));
+    if (self.next_sweep <= now_) {
+      self.next_sweep = now_ + sweep_period;
+      update(now_, self, self.copy.tick(now_));
+    }
     if (self.next_selection <= now_) {
       self.next_selection = now_ + selection_period;
+      self.copy.set_store_reachable(
+          now_, self.distribution->readers().store_answers(now_));
       send(index, self.distribution->set_store_failing(
                       now_, self.reading && self.failing));
       send(index, self.distribution->request_missing_changes(now_));
@@ -358,20 +419,25 @@
       self.next_call = now_ + retry_time;
       return;
     }
-    const replica::revision known = self.copy.last_revision();
+    const replica::position known = self.copy.last_position();
+    const bool behind =
+        known > replica::position{} && known.number() < oldest_kept_revision_;
     store_answer answer{.arrives_at = now_ + store_delay_,
-                        .revision = revision_,
-                        .listing = known > 0 && known < oldest_kept_revision_};
+                        .position = {era_, revision_},
+                        .listing = known.era() != era_ || behind};
     for (const auto& [key, change] : store_) {
-      const bool included = answer.listing ? change.value.has_value()
-                                           : change.changed_revision > known;
-      if (included) answer.changes.push_back(change);
+      const bool included = answer.listing
+                                ? change.value.has_value()
+                                : change.changed_at.number() > known.number();
+      if (!included) continue;
+      answer.changes.push_back(change);
+      answer.changes.back().changed_at = {era_, change.changed_at.number()};
     }
-    std::ranges::sort(answer.changes, {}, &replica::change::changed_revision);
+    std::ranges::sort(answer.changes, {}, &replica::change::changed_at);
     answer.full = !answer.listing && answer.changes.size() > page_size;
     if (answer.full) {
       answer.changes.resize(page_size);
-      answer.revision = answer.changes.back().changed_revision;
+      answer.position = answer.changes.back().changed_at;
     }
     self.answer = std::move(answer);
   }
@@ -381,13 +447,15 @@
     self.next_call =
         now_ + call_time +
         (answer.full ? duration::zero() : pause_after_changes(options_.limits));
+    // See store_reader::read_era.
+    if (answer.position.era() < self.copy.last_position().era()) return;
     self.distribution->on_store_answer(now_);
     update(now_, self,
            answer.listing
-               ? self.copy.apply_listing(now_, answer.changes, answer.revision)
-               : self.copy.apply(now_, answer.changes, answer.revision));
+               ? self.copy.apply_listing(now_, answer.changes, answer.position)
+               : self.copy.apply(now_, answer.changes, answer.position));
     send(index,
-         self.distribution->on_store_read(now_, answer.revision, !answer.full));
+         self.distribution->on_store_read(now_, answer.position, !answer.full));
   }
 
   options options_;
@@ -398,6 +466,9 @@
   std::vector<endpoint> seeds_;
   std::vector<std::unique_ptr<daemon>> daemons_;
   std::map<std::string, replica::change> store_;
+  /// What the writes replaced, for `restore`.
+  std::vector<undo_entry> undo_;
+  replica::era era_ = 0;
   replica::revision revision_ = 0;
   replica::revision oldest_kept_revision_ = 0;
   duration store_delay_{};
