--- a/packages/tier/tests/simulated_fleet.hpp
+++ b/packages/tier/tests/simulated_fleet.hpp
@@ -22,8 +22,10 @@
 
 /// The key under which each change of the configuration is stored.
 inline const std::string configuration_key = "configuration";
-/// Prefix of the other keys that operators write.
+/// Prefix of the keys whose removals are not delayed.
 inline const std::string operator_prefix = "op/";
+/// Prefix of the registrations that are written all the time.
+inline const std::string heartbeat_prefix = "leaf";
 
 class simulated_fleet {
  public:
@@ -105,7 +107,7 @@
   replica::position position(std::size_t daemon) const {
     return daemons_[daemon]->copy.last_position();
   }
-  /// The value of an operator's record, as the daemon uses it.
+  /// The value of a record, heartbeats aside, as the daemon uses it.
   std::optional<std::string> used(std::size_t daemon,
                                   const std::string& key) const {
     const auto found = daemons_[daemon]->used.find(key);
@@ -180,7 +182,8 @@
            next_heartbeat_ +=
            std::chrono::duration_cast<duration>(std::chrono::seconds(1)) /
            options_.heartbeat_rate) {
-        const std::string key = "leaf" + std::to_string(random_.below(leafs));
+        const std::string key =
+            heartbeat_prefix + std::to_string(random_.below(leafs));
         const bool removed = random_.uniform() < options_.removals;
         write_to_store(key, removed ? std::nullopt : std::optional("beat"));
       }
@@ -221,10 +224,11 @@
   };
   struct daemon {
     explicit daemon(duration removal_delay)
-        : copy({.removal_delay = removal_delay}) {}
+        : copy({.removal_delay = removal_delay,
+                .immediate_prefix = operator_prefix}) {}
 
     replica::store_copy copy;
-    /// The operators' records in use.
+    /// The records in use, heartbeats aside.
     std::map<std::string, std::string> used;
     time_point next_sweep;
     std::unique_ptr<change_distribution> distribution;
@@ -298,7 +302,7 @@
   void update(time_point now, daemon& self,
               const std::vector<replica::update>& news) const {
     for (const replica::update& each : news) {
-      if (each.key.starts_with(operator_prefix)) {
+      if (!each.key.starts_with(heartbeat_prefix)) {
         if (each.value) {
           self.used[each.key] = *each.value;
         } else {
