soak: the store is restored from older copies

Within 1.2 s leafs and operators write again what they wrote last. Restores do not count as faults, so that all promises are checked meanwhile.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -56,6 +56,10 @@
   return names;
 }
 
+std::string leaf_key(const standins::leaf& leaf) {
+  return "servers/" + leaf.settings().id;
+}
+
 }  // namespace
 
 deployment::deployment(loop::io_context& loop, loop::timer_queue& timers,
@@ -134,19 +138,49 @@
 }
 
 void deployment::register_leaf(const standins::leaf& leaf) {
-  store_.put("servers/" + leaf.settings().id, leaf.registration());
+  put(leaf_key(leaf), leaf.registration());
 }
 
 void deployment::deregister_leaf(const standins::leaf& leaf) {
-  store_.remove("servers/" + leaf.settings().id);
+  remove(leaf_key(leaf));
+}
+
+void deployment::put(const std::string& key, const json& value) {
+  written_[key] = value;
+  store_.put(key, value);
+}
+
+void deployment::remove(const std::string& key) {
+  written_[key] = json();
+  store_.remove(key);
+}
+
+std::vector<std::string> deployment::written_keys() const {
+  std::vector<std::string> keys;
+  std::ranges::transform(written_, std::back_inserter(keys),
+                         [](const auto& entry) { return entry.first; });
+  return keys;
+}
+
+void deployment::write_again(const std::string& key) {
+  const bool ended = std::ranges::any_of(leafs_, [&key](const auto& leaf) {
+    return leaf_key(*leaf) == key && !leaf->running();
+  });
+  if (ended) return;
+  const json value = written_.at(key);
+  if (value.is_null()) {
+    store_.remove(key);
+  } else {
+    store_.put(key, value);
+  }
 }
 
 void deployment::set_data_centre_out(const std::string& data_centre, bool out) {
   const std::string key = "op/evacuate/" + data_centre;
   if (out) {
-    store_.put(key, json::object());
+    put(key, json::object());
   } else {
-    store_.remove(key);
+    remove(key);
   }
 }
 
@@ -180,9 +214,9 @@
                         {"warmupS", 0},
                         {"warmupPerS", 0}});
   }
-  store_.put("op/config", {{"version", version_},
-                           {"routes", {gather, single, once, changing}},
-                           {"services", std::move(services)}});
+  put("op/config", {{"version", version_},
+                    {"routes", {gather, single, once, changing}},
+                    {"services", std::move(services)}});
   return version_;
 }
 
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -93,6 +93,11 @@
   void register_leaf(const standins::leaf& leaf);
   void deregister_leaf(const standins::leaf& leaf);
   void set_data_centre_out(const std::string& data_centre, bool out);
+  /// Returns the keys that leafs and operators have written or removed.
+  std::vector<std::string> written_keys() const;
+  /// Writes or removes a record again as it was last, after a restore of the
+  /// store. A leaf that does not run writes nothing.
+  void write_again(const std::string& key);
 
   std::vector<standins::request_kind> request_kinds() const;
   /// Returns an empty text if there is no such leaf.
@@ -116,12 +121,16 @@
 
  private:
   void add_service(const std::string& name, std::size_t count);
+  void put(const std::string& key, const nlohmann::json& value);
+  void remove(const std::string& key);
 
   loop::io_context& loop_;
   loop::timer_queue& timers_;
   deployment_options options_;
   standins::execution_log execution_log_;
   standins::store store_;
+  /// What was last written to each key; null if it was removed.
+  std::map<std::string, nlohmann::json> written_;
   std::vector<std::unique_ptr<standins::leaf>> leafs_;
   std::vector<std::unique_ptr<link>> leaf_links_;
   std::vector<std::unique_ptr<link>> store_links_;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -26,6 +26,13 @@
 constexpr std::uint64_t peer_random_id = 2;
 constexpr std::uint64_t endless_random_id = 3;
 constexpr std::uint64_t statement_random_id = 4;
+constexpr std::uint64_t restore_random_id = 5;
+/// Restores of the store in a run, at most, and the age of the copies.
+constexpr std::uint64_t max_restores = 2;
+constexpr std::uint64_t max_copy_age_ms = 5000;
+/// Leafs write their records at this interval; operators write what was lost
+/// within it.
+constexpr duration write_interval = milliseconds(1200);
 /// One fault between daemons is added per this many events.
 constexpr std::size_t events_per_peer_fault = 4;
 
@@ -43,7 +50,8 @@
       random_(options.seed),
       peer_random_(hash_combine(options.seed, peer_random_id)),
       endless_random_(hash_combine(options.seed, endless_random_id)),
-      statement_random_(hash_combine(options.seed, statement_random_id)) {}
+      statement_random_(hash_combine(options.seed, statement_random_id)),
+      restore_random_(hash_combine(options.seed, restore_random_id)) {}
 
 void fault_plan::start() {
   started_at_ = steady_clock::now();
@@ -53,6 +61,7 @@
   schedule_peer_faults();
   schedule_endless_responses();
   schedule_statements();
+  schedule_restores();
 }
 
 void fault_plan::schedule(duration when, std::function<void()> action) {
@@ -302,6 +311,26 @@
   }
 }
 
+void fault_plan::schedule_restores() {
+  const std::uint64_t restores = 1 + restore_random_.below(max_restores);
+  for (std::uint64_t i = 0; i < restores; ++i) {
+    const duration when =
+        options_.window_begin +
+        restore_random_.below(options_.window_end - options_.window_begin);
+    const milliseconds age(restore_random_.below(max_copy_age_ms));
+    schedule(when, [this, age] { restore_store(age); });
+  }
+}
+
+void fault_plan::restore_store(duration age) {
+  log_("store restored from a copy of age " + format_duration(age));
+  deployment_.store().restore(age);
+  for (const std::string& key : deployment_.written_keys()) {
+    timers_.after(restore_random_.below(write_interval),
+                  [this, key] { deployment_.write_again(key); });
+  }
+}
+
 // One leaf of seven sends bytes that are no response until daemons close.
 void fault_plan::schedule_endless_responses() {
   const std::size_t count = deployment_.leafs().size();
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -40,6 +40,10 @@
   void schedule_store_fault(duration when, duration span);
   void schedule_leaf_fault(duration when, duration span);
   void schedule_peer_faults();
+  /// The store is restored from older copies. These are no faults: what the
+  /// deployment promises holds meanwhile.
+  void schedule_restores();
+  void restore_store(duration age);
   void schedule_endless_responses();
   /// Leafs that state limits, pause or leave by their own word; no faults.
   void schedule_statements();
@@ -67,6 +71,7 @@
   random_generator peer_random_;
   random_generator endless_random_;
   random_generator statement_random_;
+  random_generator restore_random_;
   time_point started_at_;
   bool second_shards_ = false;
 };
