leafs: daemons that compete for few slots prefer two leafs each

Cause: where daemons outnumber the slots of a service, each has few requests in flight at a leaf and learns of slow or full leafs late, so that leafs are overloaded while others have free slots. Change: leaf_choice takes effect where min(daemons, 1 / own fraction) is above the sum of the slots. Of the usable leafs of the data centre that the former rule chooses, two are preferred, in an order of the daemon's own; another must cost less than half. The cost there uses the geometric mean of the recent slowness and of steady_slowness, a mean over some 20 s, and counts own requests in flight three times as much. Elsewhere pick returns what it returned before. leaf_set::spread reports how uneven the leafs look. The hash of the picks in leaf_choice.picks_as_before_where_daemons_do_not_compete is that of the code before. With the rule disabled, its factor 1, its data centre ignored, or one of the two slownesses left out, the tests for these failed.

--- a/packages/leafs/include/medlarloft/leafs.hpp
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -157,10 +157,25 @@
   std::size_t in_flight = 0;
   /// Recent response time in relation to the usual one of the work class.
   double slowness = 1;
+  /// The same, over many responses.
+  double steady_slowness = 1;
+};
+
+/// How evenly this daemon sees the leafs of its services loaded.
+struct load_spread {
+  /// Highest number of requests in flight per slot of a leaf, in relation to
+  /// the mean, of the service with the most requests in flight; 1 without any.
+  double in_flight_ratio = 1;
+  /// Highest steady slowness of a leaf in relation to the mean of its service,
+  /// of the service where this is highest.
+  double slowness_ratio = 1;
+  /// Services for whose leafs more daemons compete than these have slots.
+  std::size_t contended_services = 0;
 };
 
 class departed_leafs;
 class leaf_throttle;
+class steady_slowness;
 
 /// The leafs of all services and the requests in flight to them.
 class leaf_set {
@@ -215,8 +230,10 @@
   void set_limits(const std::string& service, service_limits limits);
   void set_quota(daemon_quota quota);
 
-  /// Returns the leaf that is expected to complete the request first. A work
-  /// class groups requests of similar processing time, such as one route.
+  /// Returns the leaf that is expected to complete the request first. Where
+  /// more daemons compete than the service has slots, each prefers a few leafs
+  /// of the data centre of that leaf. A work class groups requests of similar
+  /// processing time, such as one route.
   result<leaf_handle, unavailable_reason> pick(time_point now,
                                                const std::string& service,
                                                const std::string& work_class,
@@ -264,6 +281,7 @@
   std::size_t connection_limit(const std::string& service) const;
   std::vector<leaf_handle> leafs_of(const std::string& service) const;
   std::vector<leaf_status> statuses(time_point now) const;
+  load_spread spread(time_point now) const;
   std::size_t size() const noexcept { return by_id_.size(); }
 
  private:
@@ -279,6 +297,7 @@
     std::vector<open_attempt> open_attempts;
     double slowness = 1;
     time_point slowness_updated_at{};
+    std::shared_ptr<steady_slowness> steady;
     std::uint32_t consecutive_outliers = 0;
     time_point last_outlier_at{};
     double failure_rate = 0;
@@ -291,6 +310,7 @@
   duration work_time(const std::string& work_class) const;
   duration round_trip(const leaf_state& leaf) const;
   double slowness(time_point now, const leaf_state& leaf) const;
+  double contended_slowness(time_point now, const leaf_state& leaf) const;
   double failure_rate(time_point now, const leaf_state& leaf) const;
   duration expected_leaf_time(time_point now, const leaf_state& leaf,
                               const std::string& work_class) const;
@@ -301,6 +321,15 @@
       time_point now, const leaf_state& leaf) const;
   double cost(time_point now, const leaf_state& leaf,
               const std::string& work_class) const;
+  double contended_cost(time_point now, const leaf_state& leaf,
+                        const std::string& work_class) const;
+  double cost(time_point now, const leaf_state& leaf,
+              const std::string& work_class, double slowness,
+              double load_factor) const;
+  leaf_handle choose_contended(time_point now, leaf_handle best,
+                               const std::vector<leaf_handle>& usable,
+                               const std::string& work_class) const;
+  std::size_t slots(const std::vector<leaf_handle>& leafs) const;
   double slowdown(time_point now, const leaf_state& leaf,
                   const open_attempt& attempt) const;
   void update_estimates(time_point now, leaf_state& leaf,
@@ -308,6 +337,7 @@
   void set_cold_rate(time_point now, leaf_state& leaf);
 
   options options_;
+  std::uint64_t seed_;
   random_generator random_;
   /// By handle; null once a start is forgotten.
   std::vector<std::unique_ptr<leaf_state>> leafs_;
--- a/packages/leafs/src/leaf_set.cpp
+++ b/packages/leafs/src/leaf_set.cpp
@@ -1,9 +1,12 @@
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 #include "departed_leafs.hpp"
+#include "leaf_choice.hpp"
 #include "leaf_throttle.hpp"
 #include "medlarloft/leafs.hpp"
+#include "steady_slowness.hpp"
 
 namespace medlarloft::leafs {
 namespace {
@@ -18,11 +21,17 @@
 constexpr double max_slowness = 30.0;
 /// Cost added for a failure rate of 1, in multiples of the work time.
 constexpr double failure_cost = 8.0;
+/// A leaf with a higher failure rate is not preferred: four seconds after one
+/// failed request.
+constexpr double max_preferred_failure_rate = failure_rate_weight / 4;
 /// A leaf in another data centre must be cheaper by this factor.
 constexpr double remote_cost_factor = 1.15;
 /// Each request of this daemon counts as this many in the load of a leaf, since
 /// other daemons send requests to it as well.
 constexpr double load_factor = 2.0;
+/// The same where more daemons compete than there are slots, so that each of
+/// them has few requests in flight.
+constexpr double contended_load_factor = 6.0;
 /// A leaf's cost is randomly increased by up to this fraction, to break ties
 /// between equal leafs.
 constexpr double tie_jitter = 0.05;
@@ -53,6 +62,7 @@
 
 leaf_set::leaf_set(options settings, std::uint64_t seed)
     : options_(std::move(settings)),
+      seed_(seed),
       random_(seed),
       departed_(std::make_shared<departed_leafs>(departed_leafs::options{})) {}
 
@@ -94,6 +104,7 @@
       leaf_throttle::options{.initial_ejection = options_.initial_ejection,
                              .max_ejection = options_.max_ejection,
                              .max_pause = options_.max_pause});
+  leafs_.back()->steady = std::make_shared<steady_slowness>();
   return handle;
 }
 
@@ -205,6 +216,13 @@
                options_.failure_half_life);
 }
 
+// With few responses of each leaf the recent slowness is mostly noise, and the
+// steady one misses a slowdown. Their geometric mean reduces both errors.
+double leaf_set::contended_slowness(time_point now,
+                                    const leaf_state& leaf) const {
+  return std::sqrt(slowness(now, leaf) * leaf.steady->value(now));
+}
+
 duration leaf_set::expected_leaf_time(time_point now, const leaf_state& leaf,
                                       const std::string& work_class) const {
   return scaled(work_time(work_class), slowness(now, leaf)) + round_trip(leaf);
@@ -263,11 +281,23 @@
 
 double leaf_set::cost(time_point now, const leaf_state& leaf,
                       const std::string& work_class) const {
+  return cost(now, leaf, work_class, slowness(now, leaf), load_factor);
+}
+
+double leaf_set::contended_cost(time_point now, const leaf_state& leaf,
+                                const std::string& work_class) const {
+  return cost(now, leaf, work_class, contended_slowness(now, leaf),
+              contended_load_factor);
+}
+
+double leaf_set::cost(time_point now, const leaf_state& leaf,
+                      const std::string& work_class, double slowness,
+                      double load_factor) const {
   const duration base = work_time(work_class);
   const double load = load_factor *
                       static_cast<double>(leaf.open_attempts.size()) /
                       std::max<std::uint32_t>(leaf.registration->slots, 1);
-  duration total = scaled(base, slowness(now, leaf) * (1 + load));
+  duration total = scaled(base, slowness * (1 + load));
   total += scaled(base, failure_cost * failure_rate(now, leaf));
   total += round_trip(leaf);
   if (overdue(now, leaf)) total += pause_cost + base;
@@ -286,6 +316,8 @@
   if (candidates == by_service_.end()) return reason;
   std::optional<leaf_handle> best;
   double best_cost = 0;
+  std::vector<leaf_handle> usable;
+  const bool contended = is_contended(quota_, slots(candidates->second));
   for (const leaf_handle handle : candidates->second) {
     const leaf_state& leaf = *leafs_[handle];
     if (!accepts_requests(leaf)) continue;
@@ -302,6 +334,7 @@
       reason = std::max(reason, *unavailable);
       continue;
     }
+    if (contended) usable.push_back(handle);
     const double jitter = 1 + tie_jitter * random_.uniform();
     const double leaf_cost = cost(now, leaf, work_class) * jitter;
     if (best && leaf_cost >= best_cost) continue;
@@ -309,7 +342,34 @@
     best_cost = leaf_cost;
   }
   if (!best) return reason;
-  return *best;
+  return contended ? choose_contended(now, *best, usable, work_class) : *best;
+}
+
+std::size_t leaf_set::slots(const std::vector<leaf_handle>& leafs) const {
+  return std::accumulate(
+      leafs.begin(), leafs.end(), std::size_t{0},
+      [this](std::size_t sum, leaf_handle handle) {
+        const leaf_state& leaf = *leafs_[handle];
+        return accepts_requests(leaf) ? sum + leaf.registration->slots : sum;
+      });
+}
+
+// Which data centre serves the request depends on the best leaf alone.
+leaf_handle leaf_set::choose_contended(time_point now, leaf_handle best,
+                                       const std::vector<leaf_handle>& usable,
+                                       const std::string& work_class) const {
+  const std::string& data_centre = leafs_[best]->registration->data_centre;
+  std::vector<leaf_candidate> candidates;
+  for (const leaf_handle handle : usable) {
+    const leaf_state& leaf = *leafs_[handle];
+    if (leaf.registration->data_centre != data_centre) continue;
+    candidates.push_back(
+        {.leaf = handle,
+         .preference = hash64(leaf.registration->id, seed_),
+         .cost = contended_cost(now, leaf, work_class),
+         .failing = failure_rate(now, leaf) > max_preferred_failure_rate});
+  }
+  return choose_leaf(candidates);
 }
 
 std::optional<unavailable_reason> leaf_set::service_unavailable_reason(
@@ -383,6 +443,7 @@
   leaf.slowness =
       previous_slowness + slowness_weight * (clipped - previous_slowness);
   leaf.slowness_updated_at = now;
+  leaf.steady->add(now, clipped);
   duration& average =
       work_times_.try_emplace(attempt.work_class, measured_time).first->second;
   const duration sample =
@@ -447,7 +508,8 @@
                    .paused = leaf.throttle->paused(now),
                    .leaving = leaf.throttle->leaving(),
                    .in_flight = leaf.open_attempts.size(),
-                   .slowness = slowness(now, leaf)});
+                   .slowness = slowness(now, leaf),
+                   .steady_slowness = leaf.steady->value(now)});
   }
   std::ranges::sort(all, {}, [](const leaf_status& each) -> const std::string& {
     return each.registration.id;
@@ -455,4 +517,41 @@
   return all;
 }
 
+load_spread leaf_set::spread(time_point now) const {
+  load_spread result;
+  std::size_t most_in_flight = 0;
+  for (const auto& [service, handles] : by_service_) {
+    double highest_load = 0;
+    double highest_slowness = 0;
+    double slowness_sum = 0;
+    std::size_t in_flight = 0;
+    std::size_t leafs = 0;
+    for (const leaf_handle handle : handles) {
+      const leaf_state& leaf = *leafs_[handle];
+      if (!accepts_requests(leaf)) continue;
+      const double slowness = leaf.steady->value(now);
+      const auto open = leaf.open_attempts.size();
+      ++leafs;
+      in_flight += open;
+      slowness_sum += slowness;
+      highest_slowness = std::max(highest_slowness, slowness);
+      highest_load =
+          std::max(highest_load,
+                   static_cast<double>(open) /
+                       std::max<std::uint32_t>(leaf.registration->slots, 1));
+    }
+    if (leafs == 0) continue;
+    const std::size_t service_slots = slots(handles);
+    if (is_contended(quota_, service_slots)) ++result.contended_services;
+    result.slowness_ratio =
+        std::max(result.slowness_ratio,
+                 highest_slowness * static_cast<double>(leafs) / slowness_sum);
+    if (in_flight <= most_in_flight) continue;
+    most_in_flight = in_flight;
+    result.in_flight_ratio = highest_load * static_cast<double>(service_slots) /
+                             static_cast<double>(in_flight);
+  }
+  return result;
+}
+
 }  // namespace medlarloft::leafs
--- a/packages/leafs/tests/load_model_test.cpp
+++ b/packages/leafs/tests/load_model_test.cpp
@@ -21,5 +21,25 @@
   EXPECT_GT(stale.idle, 2 * random.idle);
 }
 
+// Leafs of different speeds are overloaded while others are free: with every
+// daemon spreading its requests over all leafs, none of them learns in time
+// which ones are slow or full.
+TEST(load_model, competing_daemons_overload_leafs_less_often) {
+  for (const model_options& service : {searches, lookups}) {
+    const auto before = run_daemons(service, 30, false);
+    const auto after = run_daemons(service, 30, true);
+    EXPECT_LT(after.overloads, 0.92 * before.overloads);
+    EXPECT_LT(after.mean_time, 0.92 * before.mean_time);
+  }
+}
+
+TEST(load_model, competing_daemons_have_fewer_requests_shed) {
+  model_options service = lookups;
+  service.queue_capacity = 4;
+  const auto before = run_daemons(service, 30, false);
+  const auto after = run_daemons(service, 30, true);
+  EXPECT_LT(after.refused, 0.7 * before.refused);
+}
+
 }  // namespace
 }  // namespace medlarloft::leafs::testing
