--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -161,6 +161,10 @@
   metrics.set(gauge::leafs_paused, to_double(paused));
   metrics.set(gauge::leafs_leaving, to_double(leaving));
   metrics.set(gauge::leaf_requests_open, to_double(open));
+  const leafs::load_spread spread = leafs.spread(now);
+  metrics.set(gauge::leaf_in_flight_ratio, spread.in_flight_ratio);
+  metrics.set(gauge::leaf_slowness_ratio, spread.slowness_ratio);
+  metrics.set(gauge::services_contended, to_double(spread.contended_services));
   metrics.set(gauge::requests_running,
               to_double(caller_server->active_requests()));
   metrics.set(gauge::requests_waiting, to_double(queue.size()));
--- a/packages/tier/src/daemon_metrics.cpp
+++ b/packages/tier/src/daemon_metrics.cpp
@@ -26,7 +26,8 @@
                 "leafs_limited",         "leafs_paused",
                 "leafs_leaving",         "leaf_requests_open",
                 "requests_running",      "requests_waiting",
-                "loop_lag_seconds"};
+                "loop_lag_seconds",      "leaf_in_flight_ratio",
+                "leaf_slowness_ratio",   "services_contended"};
 
 }  // namespace
 
--- a/packages/tier/src/daemon_metrics.hpp
+++ b/packages/tier/src/daemon_metrics.hpp
@@ -52,7 +52,11 @@
   requests_running,
   requests_waiting,  // entries in the wait queues for a free leaf
   loop_lag_seconds,  // delay of the last periodic sweep
-  gauge_count        // the number of gauges
+  // Highest to mean, see leafs::load_spread.
+  leaf_in_flight_ratio,
+  leaf_slowness_ratio,
+  services_contended,  // more daemons compete than their leafs have slots
+  gauge_count          // the number of gauges
 };
 
 std::string_view name_of(gauge which) noexcept;
