replica, tier: a start or a pause of a daemon is no outage of the store

Cause: until the first answer the store counted as unreachable, so that this answer ended an outage. For 2.5 s after its start a daemon kept removed records for 2.5 s instead of 1.5 s, past the limit for leafs that leave. The same happened to a daemon that was suspended for longer than stale_after: the removals that it knew of began again with the longer delay.

Change: what a daemon knows of the store is one of three states: unknown since a start or a pause, answering, silent. Only an answer after silence ends an outage. Silence is an old last answer, also one that others report, or none for stale_after since the start or the pause.

--- a/packages/replica/include/medlarloft/replica.hpp
+++ b/packages/replica/include/medlarloft/replica.hpp
@@ -76,6 +76,16 @@
   std::optional<std::string> value;
 };
 
+/// What a daemon knows of whether the store answers.
+enum class store_state : std::uint8_t {
+  /// Nothing yet, since the daemon started or was paused. Not a sign of an
+  /// outage.
+  unknown,
+  answering,
+  /// It has answered no daemon for some time.
+  silent,
+};
+
 class store_copy {
  public:
   struct options {
@@ -117,14 +127,16 @@
                                     const std::vector<change>& listing,
                                     position as_of);
 
-  /// Sets whether the store recently answered any daemon.
-  void set_store_reachable(time_point now, bool reachable);
+  /// Sets whether the store recently answered any daemon. An outage ends when
+  /// it answers after it was silent; while its state is unknown, an earlier
+  /// outage lasts.
+  void set_store_state(time_point now, store_state state);
 
   /// Removes records whose removal delay has passed, and uses returned records
   /// whose delay has passed.
   std::vector<update> tick(time_point now);
   /// Returns when `tick` must be called next; nothing while nothing is delayed.
-  /// Removals are not due while the store is unreachable.
+  /// Removals are not due while the store is silent.
   std::optional<time_point> next_tick() const;
 
   /// The changes after a position, or a full listing if some of them are no
@@ -181,8 +193,9 @@
   position last_position_;
   /// Removals up to this position are no longer kept.
   position pruned_up_to_;
-  bool store_unreachable_ = false;
-  std::optional<time_point> reachable_since_;
+  store_state state_ = store_state::unknown;
+  /// When the store answered again after the last outage.
+  std::optional<time_point> recovered_at_;
 };
 
 }  // namespace medlarloft::replica
--- a/packages/replica/src/replica.cpp
+++ b/packages/replica/src/replica.cpp
@@ -54,7 +54,7 @@
                                           const std::vector<change>& listing,
                                           position as_of) {
   // The listing was read from the store after its restore.
-  if (store_unreachable_) set_store_reachable(now, true);
+  set_store_state(now, store_state::answering);
   std::vector<update> updates;
   std::set<std::string_view> listed;
   for (const change& each : listing) {
@@ -140,20 +140,22 @@
                          key.starts_with(options_.immediate_prefix);
   if (immediate) return duration::zero();
   const bool during_outage =
-      store_unreachable_ ||
-      (reachable_since_ && now < *reachable_since_ + options_.outage_grace);
+      state_ == store_state::silent ||
+      (recovered_at_ && now < *recovered_at_ + options_.outage_grace);
   return during_outage ? options_.outage_removal_delay : options_.removal_delay;
 }
 
-void store_copy::set_store_reachable(time_point now, bool reachable) {
-  if (store_unreachable_ && reachable) {
-    reachable_since_ = now;
-    for (auto& [key, stored] : records_) {
-      if (stored.remove_at)
-        stored.remove_at = now + options_.outage_removal_delay;
-    }
+void store_copy::set_store_state(time_point now, store_state state) {
+  if (state == store_state::unknown) return;
+  const bool recovered =
+      state_ == store_state::silent && state == store_state::answering;
+  state_ = state;
+  if (!recovered) return;
+  recovered_at_ = now;
+  for (auto& [key, stored] : records_) {
+    if (stored.remove_at)
+      stored.remove_at = now + options_.outage_removal_delay;
   }
-  store_unreachable_ = !reachable;
 }
 
 std::vector<update> store_copy::tick(time_point now) {
@@ -163,8 +165,8 @@
       const std::string value = std::move(stored.returned->value);
       set_value(key, stored, value, updates);
     }
-    // No record can be registered again while the store is unreachable.
-    if (store_unreachable_) continue;
+    // No record can be registered again while the store is silent.
+    if (state_ == store_state::silent) continue;
     if (!stored.remove_at || now < *stored.remove_at) continue;
     stored.remove_at.reset();
     stored.lost = false;
@@ -177,7 +179,7 @@
 std::optional<time_point> store_copy::next_tick() const {
   std::optional<time_point> next;
   for (const auto& [key, stored] : records_) {
-    if (stored.remove_at && !store_unreachable_)
+    if (stored.remove_at && state_ != store_state::silent)
       next = std::min(next.value_or(*stored.remove_at), *stored.remove_at);
     if (!stored.returned) continue;
     const time_point use_at = stored.returned->use_at;
--- a/packages/replica/tests/replica_test.cpp
+++ b/packages/replica/tests/replica_test.cpp
@@ -74,8 +74,8 @@
 TEST(store_copy, delays_removals_after_the_store_was_unreachable) {
   store_copy copy({});
   copy.apply(start, {{"a", 1, "x"}, {"b", 2, "y"}}, 2);
-  copy.set_store_reachable(start, false);
-  copy.set_store_reachable(start + seconds(5), true);
+  copy.set_store_state(start, store_state::silent);
+  copy.set_store_state(start + seconds(5), store_state::answering);
   EXPECT_TRUE(copy.apply(start + seconds(5),
                          {{"a", 3, std::nullopt}, {"b", 4, std::nullopt}}, 4)
                   .empty());
@@ -86,10 +86,35 @@
   EXPECT_EQ(updates[0].key, "b");
 }
 
+// A start was taken for the end of an outage, so that a daemon kept the records
+// of leafs that left a second longer than others.
+TEST(store_copy, the_first_answer_after_a_start_ends_no_outage) {
+  store_copy copy({.removal_delay = seconds(1)});
+  copy.set_store_state(start, store_state::unknown);
+  copy.apply(start, {{"a", 1, "x"}}, 1);
+  copy.set_store_state(start, store_state::answering);
+  copy.apply(start, {{"a", 2, std::nullopt}}, 2);
+  EXPECT_EQ(copy.next_tick(), start + seconds(1));
+  EXPECT_EQ(copy.tick(start + seconds(1)).size(), 1U);
+}
+
+// A daemon is paused in an outage and knows nothing of the store afterwards,
+// until it answers again.
+TEST(store_copy, an_outage_lasts_while_the_state_is_unknown) {
+  store_copy copy({.removal_delay = seconds(1)});
+  copy.apply(start, {{"a", 1, "x"}}, 1);
+  copy.set_store_state(start, store_state::silent);
+  copy.apply(start, {{"a", 2, std::nullopt}}, 2);
+  copy.set_store_state(start, store_state::unknown);
+  EXPECT_TRUE(copy.tick(start + seconds(60)).empty());
+  copy.set_store_state(start + seconds(60), store_state::answering);
+  EXPECT_EQ(copy.next_tick(), start + milliseconds(62500));
+}
+
 TEST(store_copy, never_delays_removals_with_the_immediate_prefix) {
   store_copy copy({.immediate_prefix = "ours/"});
   copy.apply(start, {{"ours/z", 1, "{}"}}, 1);
-  copy.set_store_reachable(start, false);
+  copy.set_store_state(start, store_state::silent);
   EXPECT_EQ(copy.apply(start, {{"ours/z", 2, std::nullopt}}, 2).size(), 1U);
 }
 
--- a/packages/tier/src/change_distribution.cpp
+++ b/packages/tier/src/change_distribution.cpp
@@ -64,7 +64,7 @@
 
 change_distribution::outputs change_distribution::reset_after_pause(
     time_point now) {
-  readers_.discard_confirmations();
+  readers_.reset_after_pause(now);
   ignore_reports_until_ = now + late_delivery_time;
   outputs out;
   collect(now, out, members_.reset_after_pause(now));
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -64,7 +64,7 @@
   check_pause();
   const time_point now = steady_clock::now();
   const reader_selection& readers = distribution->readers();
-  view.set_store_reachable(now, readers.store_answers(now));
+  view.set_store_state(now, readers.state_of_store(now));
   report_store_failure(now);
   apply_group_outputs(distribution->request_missing_changes(now));
   const bool should_read =
--- a/packages/tier/src/reader_selection.cpp
+++ b/packages/tier/src/reader_selection.cpp
@@ -63,7 +63,9 @@
   confirm_at(now);
 }
 
-void reader_selection::discard_confirmations() {
+void reader_selection::reset_after_pause(time_point now) {
+  observing_since_ = now;
+  answered_at_.reset();
   confirmed_at_.reset();
   first_pending_.reset();
   last_pending_.reset();
@@ -96,6 +98,13 @@
   return answered_at_ && now - *answered_at_ < options_.stale_after;
 }
 
+replica::store_state reader_selection::state_of_store(time_point now) const {
+  if (store_answers(now)) return replica::store_state::answering;
+  const bool silent =
+      answered_at_ || now - observing_since_ >= options_.stale_after;
+  return silent ? replica::store_state::silent : replica::store_state::unknown;
+}
+
 bool reader_selection::should_request_changes(time_point now) {
   const duration request_after =
       options_.stale_after / options_.request_divisor;
--- a/packages/tier/src/reader_selection.hpp
+++ b/packages/tier/src/reader_selection.hpp
@@ -50,7 +50,9 @@
   };
 
   reader_selection(options settings, time_point started_at)
-      : options_(settings), started_at_(started_at) {}
+      : options_(settings),
+        started_at_(started_at),
+        observing_since_(started_at) {}
 
   /// Handles another daemon's report. It confirms the copy of this daemon only
   /// once that holds the reported position too: a report may overtake changes
@@ -68,8 +70,10 @@
   /// reported to others.
   bool set_failing(time_point now, const std::string& reader, bool failing);
 
-  /// Discards the confirmations of the copy, which may be outdated.
-  void discard_confirmations();
+  /// Call after the process was paused. Discards the confirmations of the copy,
+  /// which may be outdated, and what is known of the store: its silence during
+  /// the pause is no sign of an outage.
+  void reset_after_pause(time_point now);
 
   /// Time since this daemon's copy was last known to be current, for reports to
   /// others.
@@ -78,6 +82,9 @@
   bool is_fresh(time_point now) const;
   /// Whether the store recently answered some daemon.
   bool store_answers(time_point now) const;
+  /// The store is silent if its last answer is old, or if there was none for as
+  /// long since this daemon started or was paused.
+  replica::store_state state_of_store(time_point now) const;
 
   /// Whether this daemon should ask another one for changes now. Returns true
   /// once per `request_interval`.
@@ -99,6 +106,8 @@
 
   options options_;
   time_point started_at_;
+  /// Since when the store would have been noticed to answer.
+  time_point observing_since_;
   replica::position copy_position_;
   /// When this daemon's copy was last known to be current.
   std::optional<time_point> confirmed_at_;
--- a/packages/tier/src/store_view.cpp
+++ b/packages/tier/src/store_view.cpp
@@ -36,8 +36,8 @@
   apply_updates(now, updates, source);
 }
 
-void store_view::set_store_reachable(time_point now, bool reachable) {
-  records_.set_store_reachable(now, reachable);
+void store_view::set_store_state(time_point now, replica::store_state state) {
+  records_.set_store_state(now, state);
 }
 
 void store_view::tick(time_point now) {
--- a/packages/tier/src/store_view.hpp
+++ b/packages/tier/src/store_view.hpp
@@ -23,7 +23,7 @@
   void apply_listing(time_point now,
                      const std::vector<replica::change>& listing,
                      replica::position position, std::string_view source);
-  void set_store_reachable(time_point now, bool reachable);
+  void set_store_state(time_point now, replica::store_state state);
   void tick(time_point now);
 
   const routes::route_table_ptr& table() const noexcept { return table_; }
--- a/packages/tier/tests/reader_selection_test.cpp
+++ b/packages/tier/tests/reader_selection_test.cpp
@@ -240,6 +240,28 @@
   EXPECT_FALSE(selection.should_request_changes(start + milliseconds(3100)));
 }
 
+// A start or a pause was taken for an outage of the store.
+TEST(reader_selection, silence_before_a_start_or_in_a_pause_is_no_outage) {
+  using replica::store_state;
+  reader_selection selection({.stale_after = seconds(4)}, start);
+  EXPECT_EQ(selection.state_of_store(start), store_state::unknown);
+  selection.store_answered(start + seconds(1));
+  EXPECT_EQ(selection.state_of_store(start + seconds(4)),
+            store_state::answering);
+  EXPECT_EQ(selection.state_of_store(start + seconds(5)), store_state::silent);
+  selection.reset_after_pause(start + seconds(9));
+  EXPECT_EQ(selection.state_of_store(start + seconds(12)),
+            store_state::unknown);
+  EXPECT_EQ(selection.state_of_store(start + seconds(13)), store_state::silent);
+}
+
+// A daemon that starts in an outage hears from others that it began before.
+TEST(reader_selection, an_old_answer_that_others_report_shows_an_outage) {
+  reader_selection selection({.stale_after = seconds(4)}, start);
+  selection.handle_report(start, {.position = 1, .age = seconds(6)});
+  EXPECT_EQ(selection.state_of_store(start), replica::store_state::silent);
+}
+
 TEST(reader_selection, reports_age) {
   reader_selection selection({}, start);
   EXPECT_EQ(selection.copy_age(start), membership::unknown_store_age);
--- a/packages/tier/tests/simulated_fleet.hpp
+++ b/packages/tier/tests/simulated_fleet.hpp
@@ -397,8 +397,8 @@
     }
     if (self.next_selection <= now_) {
       self.next_selection = now_ + selection_period;
-      self.copy.set_store_reachable(
-          now_, self.distribution->readers().store_answers(now_));
+      self.copy.set_store_state(
+          now_, self.distribution->readers().state_of_store(now_));
       send(index, self.distribution->set_store_failing(
                       now_, self.reading && self.failing));
       send(index, self.distribution->request_missing_changes(now_));
