--- a/packages/tier/tests/change_codec_test.cpp
+++ b/packages/tier/tests/change_codec_test.cpp
@@ -14,7 +14,8 @@
   changes.reserve(keys.size());
   for (const std::string& key : keys) {
     changes.push_back(
-        {key, changes.size() + 1,
+        {key,
+         {static_cast<replica::era>(changes.size() % 3), changes.size() + 1},
          key.size() % 2 == 0 ? std::nullopt : std::optional(key + "=")});
   }
   RC_ASSERT(decode_changes(encode_changes(changes)) == changes);
--- a/packages/tier/tests/change_distribution_test.cpp
+++ b/packages/tier/tests/change_distribution_test.cpp
@@ -267,6 +267,44 @@
       }));
 }
 
+// Daemons notice a restore of the store at different times, and messages of the
+// era before arrive late. Changes after a revision of another era would mix two
+// states of the store, although the revisions fit.
+TEST(change_distribution, applies_changes_within_one_era_only) {
+  replica::position copy{1, 30};
+  std::vector<replica::position> applied;
+  change_distribution distribution(
+      {.group = {.self = {.id = "d0", .data_centre = "z"}}},
+      {.changes_since = [](auto) { return replica::store_copy::delta{}; },
+       .copy_position = [&copy] { return copy; },
+       .apply = [&](auto, const replica::store_copy::delta& delta,
+                    auto) { applied.push_back(copy = delta.last_position); },
+       .on_malformed = [](auto, auto) {}});
+  const auto receive = [&](replica::position base, replica::position version) {
+    distribution.receive(any_time, {.kind = membership::message_kind::notes,
+                                    .from = "d1",
+                                    .version = version.packed(),
+                                    .notes = {{.version = version.packed(),
+                                               .base = base.packed(),
+                                               .text = encode_changes({})}}});
+  };
+  const replica::position listing;
+  receive({0, 20}, {0, 900});
+  receive(listing, {0, 901});
+  receive({1, 20}, {2, 31});
+  receive({2, 20}, {2, 31});
+  EXPECT_TRUE(applied.empty());
+  receive({1, 20}, {1, 31});
+  receive(listing, {2, 5});
+  receive({2, 4}, {2, 6});
+  EXPECT_EQ(applied, (std::vector<replica::position>{{1, 31}, {2, 5}, {2, 6}}));
+  // What the reader got from the store before another daemon brought the new
+  // era.
+  EXPECT_TRUE(
+      distribution.on_store_read(any_time, {1, 40}, true).messages.empty());
+  EXPECT_FALSE(distribution.readers().is_fresh(any_time));
+}
+
 // Reading has a price, and the rate of all daemons together is limited.
 TEST(change_distribution, a_calm_fleet_makes_few_calls_to_the_store) {
   for (const std::size_t daemons : fleet_sizes) {
--- a/packages/tier/tests/reader_selection_test.cpp
+++ b/packages/tier/tests/reader_selection_test.cpp
@@ -240,6 +240,34 @@
   EXPECT_FALSE(selection.should_request_changes(start + milliseconds(3100)));
 }
 
+// A daemon that has not yet noticed a restore of the store reports that it is
+// current, with a greater revision, and its late reports arrive afterwards.
+TEST(reader_selection, a_report_of_an_earlier_era_does_not_confirm_the_copy) {
+  reader_selection selection({}, start);
+  selection.handle_report(start, {.position = 50, .age = milliseconds(0)});
+  selection.set_copy_position({1, 30});
+  EXPECT_FALSE(selection.is_fresh(start));
+  EXPECT_FALSE(
+      selection.handle_report(start, {.position = 50, .age = milliseconds(0)}));
+  EXPECT_FALSE(selection.is_fresh(start));
+  const replica::position current{1, 30};
+  EXPECT_TRUE(selection.handle_report(
+      start, {.position = current, .age = milliseconds(0)}));
+  EXPECT_TRUE(selection.is_fresh(start));
+}
+
+// A daemon that is ahead reports a restore. Its revision is smaller.
+TEST(reader_selection, a_report_of_a_later_era_waits_for_the_changes) {
+  reader_selection selection({}, start);
+  selection.confirm_copy(start, 50);
+  const replica::position restored{1, 30};
+  EXPECT_FALSE(selection.handle_report(
+      start + seconds(1), {.position = restored, .age = milliseconds(0)}));
+  EXPECT_EQ(selection.copy_age(start + seconds(1)), seconds(1));
+  selection.set_copy_position(restored);
+  EXPECT_EQ(selection.copy_age(start + seconds(1)), seconds(0));
+}
+
 // A start or a pause was taken for an outage of the store.
 TEST(reader_selection, silence_before_a_start_or_in_a_pause_is_no_outage) {
   using replica::store_state;
