--- a/packages/tier/tests/restart_of_all_test.cpp
+++ b/packages/tier/tests/restart_of_all_test.cpp
@@ -35,7 +35,7 @@
 // The seeds sent the listing to all daemons at once: some waited for it for
 // 4.9 s, and others read the store themselves, 408 calls in 8 s.
 TEST(restart_of_all, all_daemons_are_configured_within_two_seconds) {
-  constexpr std::uint64_t max_store_calls = 160;
+  constexpr std::uint64_t max_store_calls = 130;
   for (const std::size_t bytes : {7'000U, 60'000U, 250'000U}) {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
       SCOPED_TRACE(std::to_string(bytes) + " seed " + std::to_string(seed));
