tier: load includes the link, reaches the data centre, and limits admission

The load was that of the processor only, and an overloaded daemon took every request.

- The optional setting `link_mbps` makes the load that of the processor or of the link, whichever is higher.
- In fleets of uneven hosts (`has_uneven_hosts`), large hosts send their status to their data centre when their load changed by 0.05, or every 2 s.
- In such fleets the lag of the event loop is measured every 50 ms, and overload_guard refuses requests.
Log lines uneven_hosts, overload and request_refused; counter refused_overloaded; gauges overload_level, load.

--- a/packages/membership/include/medlarloft/membership.hpp
+++ b/packages/membership/include/medlarloft/membership.hpp
@@ -222,6 +222,10 @@
   /// does, for the status that every message carries, such as `store_age`.
   outputs broadcast_status(const std::string& root, bool read_from_store);
 
+  /// Sends a message without notes to each member of this data centre, for its
+  /// status.
+  outputs send_status();
+
   /// Requests newer notes from one random member, in turn of this data centre
   /// and of another. It answers also if it has none. Does nothing while a
   /// request is open.
--- a/packages/membership/src/spreading.cpp
+++ b/packages/membership/src/spreading.cpp
@@ -348,6 +348,16 @@
   }
 }
 
+outputs group::send_status() {
+  outputs out;
+  for (const auto& [id, known] : members_) {
+    const member_record& record = known.record;
+    if (record.data_centre == self_.data_centre && reachable(record))
+      send(out, record, make_message(message_kind::server_reports));
+  }
+  return out;
+}
+
 outputs group::send_server_reports(time_point /*now*/, const std::string& to,
                                    std::vector<server_report> server_reports) {
   outputs out;
--- a/packages/membership/tests/group_test.cpp
+++ b/packages/membership/tests/group_test.cpp
@@ -174,6 +174,14 @@
             expected);
 }
 
+// By probes alone, a daemon hears of the load of each of 110 others every 27 s.
+TEST_F(eight_daemons, send_their_status_to_all_of_their_data_centre) {
+  std::set<std::string> receivers;
+  for (const envelope& sent : net_.daemon("d0").members->send_status().messages)
+    receivers.insert(sent.to_id);
+  EXPECT_EQ(receivers, (std::set<std::string>{"d1", "d2"}));
+}
+
 class first_notes : public testing::Test {
  protected:
   static member_record record(const std::string& id) {
--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -70,6 +70,8 @@
     /// Speed of that core relative to the usual one.
     double speed = 1.0;
   } processor;
+  /// Bandwidth of the host's link in each direction, in Mbit/s; 0: not known.
+  double link_mbps = 0;
   std::size_t max_descriptors = 1024;
   /// Memory limit of the process.
   std::size_t memory_bytes = std::size_t{256} << 20;
--- a/packages/tier/src/change_distribution.cpp
+++ b/packages/tier/src/change_distribution.cpp
@@ -19,8 +19,8 @@
 /// How long the largest changes take from one daemon to another.
 constexpr duration notes_timeout = std::chrono::milliseconds(1000);
 /// First listings that a daemon sends at once. In simulations of 110 daemons on
-/// links of 14 Mbit/s, 1 left the last daemon waiting 2.2 s, and 4 sent more
-/// listings than fit onto the link.
+/// links of 14 Mbit/s, a single one left a tenth of them waiting for 1.3 s and
+/// more, and four delayed the last one with listings of 325 KB.
 constexpr std::size_t max_first_transfers = 3;
 /// Seeds that start together with this daemon miss its first join message.
 constexpr duration first_join_interval = std::chrono::milliseconds(100);
@@ -86,6 +86,12 @@
   return out;
 }
 
+change_distribution::outputs change_distribution::send_status(time_point now) {
+  outputs out;
+  collect(now, out, members_.send_status());
+  return out;
+}
+
 // Every message carries the sender's report of its copy. A report that came
 // down the distribution tree is forwarded along the same tree.
 change_distribution::outputs change_distribution::receive(
--- a/packages/tier/src/change_distribution.hpp
+++ b/packages/tier/src/change_distribution.hpp
@@ -52,6 +52,8 @@
   /// the store to a new call, confirms the copy.
   outputs reset_after_pause(time_point now);
   outputs leave(time_point now, membership::member_state state);
+  /// Sends this daemon's status to all daemons of its data centre.
+  outputs send_status(time_point now);
   /// What another daemon requested was delivered to it.
   void on_notes_delivered(const std::string& id) {
     members_.on_notes_delivered(id);
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -32,6 +32,7 @@
 /// The same when the whole deployment starts for the first time: no caller is
 /// waiting yet, and seeds may start later than this daemon.
 constexpr duration first_deployment_delay = milliseconds(450);
+constexpr double bytes_per_megabit = 125'000;
 /// File descriptors reserved for everything but callers' connections.
 constexpr std::size_t reserved_descriptors = 600;
 /// Requests of callers take at most the process's memory divided by this; the
@@ -109,6 +110,7 @@
              .started_at = started_at}),
       loads({.id = daemon_settings.id,
              .capacity = capacity_of(daemon_settings),
+             .link_rate = daemon_settings.link_mbps * bytes_per_megabit,
              .started_at = started_at}),
       pauses({}, uptime()),
       budget({.ratio = daemon_settings.retries.ratio,
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
+#include <cstdlib>
 #include <numeric>
 
+#include "address_choice.hpp"
 #include "daemon_state.hpp"
 
 namespace medlarloft::tier {
@@ -13,6 +15,15 @@
 constexpr duration sweep_period = milliseconds(500);
 /// Changes of at least this size are logged when they are sent.
 constexpr std::size_t large_changes_bytes = std::size_t{64} << 10;
+/// Interval at which the lag of the event loop is measured.
+constexpr duration lag_period = milliseconds(50);
+/// A large host announces its load when it changed by this many thousandths, or
+/// after this time. Without announcements a daemon hears of each of 110 others
+/// every 27 s on average, by probes.
+constexpr int announced_change = 50;
+constexpr duration announcement_period = std::chrono::seconds(2);
+/// Hosts with this fraction of the greatest capacity announce their load.
+constexpr double large_ratio = 0.5;
 /// Interval at which the selection of readers is updated.
 constexpr duration selection_period = milliseconds(100);
 /// The same until there is a configuration.
@@ -87,6 +98,11 @@
 void daemon::state::handle_message(const membership::message& message) {
   check_pause();
   loads.set_reported(message.from, message.load);
+  if (message.version == 0) {
+    not_ready.insert(message.from);
+  } else {
+    not_ready.erase(message.from);
+  }
   apply_group_outputs(distribution->receive(steady_clock::now(), message));
 }
 
@@ -127,7 +143,11 @@
   check_pause();
   loop_lag = std::max(now - last_sweep - sweep_period, duration::zero());
   last_sweep = now;
-  loads.update_own(now, metrics.value(counter::leaf_requests));
+  loads.update_own(now, {.leaf_requests = metrics.value(counter::leaf_requests),
+                         .bytes_in = traffic.bytes_in,
+                         .bytes_out = traffic.bytes_out + link->sent_bytes()});
+  overload.set_load(loads.of(daemon_settings.id));
+  announce_load(now);
   view.tick(now);
   pool.sweep(now,
              [this](leafs::leaf_handle leaf) { return leafs.usable(leaf); });
@@ -135,6 +155,50 @@
   timers.after(sweep_period, [this] { sweep(); });
 }
 
+void daemon::state::update_unevenness() {
+  std::vector<address_candidate> hosts;
+  for (const member_record& member : distribution->members().members()) {
+    if (member.state == member_state::alive)
+      hosts.push_back({.capacity = member.capacity});
+  }
+  const bool was_uneven = std::exchange(uneven, has_uneven_hosts(hosts));
+  if (uneven == was_uneven) return;
+  log.write("uneven_hosts", {{"uneven", uneven}, {"members", hosts.size()}});
+  timers.cancel(lag_timer);
+  lag_due = steady_clock::now();
+  if (uneven) measure_lag();
+}
+
+void daemon::state::measure_lag() {
+  const time_point now = steady_clock::now();
+  overload.add_lag(now - lag_due);
+  const std::uint32_t before = std::exchange(overload_level, overload.level());
+  if (before != overload_level) {
+    log.write("overload", {{"level", overload_level},
+                           {"lag", overload.lag()},
+                           {"load", loads.of(daemon_settings.id)}});
+  }
+  lag_due = now + lag_period;
+  lag_timer = timers.at(lag_due, [this] { measure_lag(); });
+}
+
+void daemon::state::announce_load(time_point now) {
+  if (!uneven) return;
+  std::uint32_t greatest = 0;
+  std::uint32_t own = 0;
+  for (const member_record& member : distribution->members().members()) {
+    greatest = std::max(greatest, member.capacity);
+    if (member.id == daemon_settings.id) own = member.capacity;
+  }
+  const std::uint16_t load = loads.own_thousandths();
+  const bool changed = std::abs(load - announced_load) >= announced_change;
+  const bool due = changed || now - announced_at >= announcement_period;
+  if (own < greatest * large_ratio || !due) return;
+  announced_load = load;
+  announced_at = now;
+  apply_group_outputs(distribution->send_status(now));
+}
+
 void daemon::state::update_metrics(time_point now) {
   using seconds = std::chrono::duration<double>;
   const auto to_double = [](auto value) { return static_cast<double>(value); };
@@ -171,6 +235,8 @@
               to_double(caller_server->active_requests()));
   metrics.set(gauge::requests_waiting, to_double(queue.size()));
   metrics.set(gauge::loop_lag_seconds, seconds(loop_lag).count());
+  metrics.set(gauge::overload_level, to_double(overload.level()));
+  metrics.set(gauge::load, loads.of(daemon_settings.id));
 }
 
 // Shared limits are divided among all daemons that were recently reachable.
@@ -185,6 +251,9 @@
   }
   quota.remove_expired(now);
   loads.retain([this](const std::string& id) { return quota.contains(id); });
+  std::erase_if(not_ready,
+                [this](const auto& id) { return !quota.contains(id); });
+  update_unevenness();
   leafs.set_quota({.fraction = quota.connection_fraction(now),
                    .rate_fraction = quota.rate_fraction(),
                    .daemons = quota.daemon_count(),
--- a/packages/tier/src/daemon_metrics.cpp
+++ b/packages/tier/src/daemon_metrics.cpp
@@ -16,17 +16,25 @@
                   "budget_empty",     "connections_opened",
                   "store_calls",      "peer_bytes",
                   "address_answers",  "unauthorized",
-                  "reports_ignored"};
+                  "reports_ignored",  "refused_overloaded"};
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(gauge::gauge_count)>
-    gauge_names{"configuration_version", "store_revision",
-                "store_age_seconds",     "members",
-                "leafs_usable",          "leafs_ejected",
-                "leafs_limited",         "leafs_paused",
-                "leafs_leaving",         "leaf_requests_open",
-                "requests_running",      "requests_waiting",
-                "loop_lag_seconds"};
+    gauge_names{"configuration_version",
+                "store_revision",
+                "store_age_seconds",
+                "members",
+                "leafs_usable",
+                "leafs_ejected",
+                "leafs_limited",
+                "leafs_paused",
+                "leafs_leaving",
+                "leaf_requests_open",
+                "requests_running",
+                "requests_waiting",
+                "loop_lag_seconds",
+                "overload_level",
+                "load"};
 
 }  // namespace
 
--- a/packages/tier/src/daemon_metrics.hpp
+++ b/packages/tier/src/daemon_metrics.hpp
@@ -32,7 +32,8 @@
   address_answers,
   unauthorized,     // requests without the key of an account
   reports_ignored,  // headers of leafs with a malformed or excessive value
-  counter_count     // the number of counters
+  refused_overloaded,
+  counter_count  // the number of counters
 };
 
 std::string_view name_of(counter which) noexcept;
@@ -52,6 +53,8 @@
   requests_running,
   requests_waiting,  // entries in the wait queues for a free leaf
   loop_lag_seconds,  // delay of the last periodic sweep
+  overload_level,    // 0: not overloaded
+  load,              // fraction of the host in use
   gauge_count        // the number of gauges
 };
 
--- a/packages/tier/src/daemon_state.hpp
+++ b/packages/tier/src/daemon_state.hpp
@@ -19,6 +19,7 @@
 #include "event_log.hpp"
 #include "fleet_load.hpp"
 #include "medlarloft/tier.hpp"
+#include "overload_guard.hpp"
 #include "pause_guard.hpp"
 #include "peer_link.hpp"
 #include "quota_calculator.hpp"
@@ -48,6 +49,12 @@
   void update_reader_selection();
   void schedule_membership_tick();
   void sweep();
+  /// Starts or stops what only fleets of uneven hosts need.
+  void update_unevenness();
+  void measure_lag();
+  /// Tells the daemons of the data centre this one's load if it is a large host
+  /// on which they rely.
+  void announce_load(time_point now);
   /// Notices that the process was paused; must be called before the view is
   /// used.
   void check_pause();
@@ -55,6 +62,10 @@
   bool holds_requests();
   void hold(const std::shared_ptr<http::exchange>& exchange);
   void refuse_while_stopping(http::exchange& exchange);
+  /// Refuses the request if this daemon is overloaded; returns whether it did.
+  bool refuse_overloaded(http::exchange& exchange,
+                         const request_metadata& metadata,
+                         const admitted_request& request);
   void refuse_without_account(http::exchange& exchange,
                               const request_metadata& metadata,
                               const routes::route& route);
@@ -89,6 +100,7 @@
   connection_pool pool;
   quota_calculator quota;
   fleet_load loads;
+  overload_guard overload{{}};
   pause_guard pauses;
   fanout::retry_budget budget;
   waiting::wait_queue queue;
@@ -105,6 +117,20 @@
   std::map<std::string, routes::weighted_round_robin> splits;
   std::function<std::optional<settings>()> reload;
   loop::timer_queue::handle membership_timer;
+  loop::timer_queue::handle lag_timer;
+  time_point lag_due{};
+  std::uint32_t overload_level = 0;
+  /// Whether the fleet's hosts differ so much that callers are directed by
+  /// load; see `has_uneven_hosts`.
+  bool uneven = false;
+  std::uint16_t announced_load = 0;
+  time_point announced_at{};
+  /// Daemons that last reported that they hold no records.
+  std::set<std::string> not_ready;
+  /// Number of address requests, which seeds the choice of addresses.
+  mutable std::uint64_t address_choices = 0;
+  /// The least urgent priority of the configuration version.
+  std::optional<std::pair<std::int64_t, std::uint32_t>> lowest_priority;
   time_point last_sweep{};
   /// The store did not answer the last call of this daemon.
   bool store_failing = false;
--- a/packages/tier/src/daemon_traffic.cpp
+++ b/packages/tier/src/daemon_traffic.cpp
@@ -31,6 +31,16 @@
 /// Retry delay sent by a stopping daemon; callers then try another one.
 constexpr duration stopping_retry = milliseconds(50);
 
+// Returns the priority of the least urgent requests.
+std::uint32_t lowest_priority_of(const routes::configuration& configuration) {
+  std::uint32_t lowest = 0;
+  for (const routes::route& route : configuration.routes)
+    lowest = std::max(lowest, route.priority);
+  for (const routes::account& account : configuration.accounts)
+    lowest = std::max(lowest, account.priority.value_or(0));
+  return lowest;
+}
+
 }  // namespace
 
 duration daemon::state::address_ttl() const {
@@ -61,10 +71,12 @@
         {.address = {member.control.ip, daemon_settings.listen.callers.port},
          .data_centre = member.data_centre,
          .capacity = member.capacity,
-         .load = loads.of(member.id)});
+         .load = loads.of(member.id),
+         .ready = self || !not_ready.contains(member.id)});
   }
   std::vector<endpoint> chosen =
-      choose_addresses(candidates, request.data_centre);
+      choose_addresses(candidates, request.data_centre, {},
+                       hash_combine(seed, ++address_choices));
   if (chosen.empty() && !stop.begun())
     chosen.push_back(daemon_settings.listen.callers);
   return chosen;
@@ -139,6 +151,31 @@
                     .headers = {{"WWW-Authenticate", "Bearer"}}});
 }
 
+bool daemon::state::refuse_overloaded(http::exchange& exchange,
+                                      const request_metadata& metadata,
+                                      const admitted_request& request) {
+  if (!uneven || overload.level() == 0) return false;
+  const std::int64_t version = request.table->version();
+  if (!lowest_priority || lowest_priority->first != version)
+    lowest_priority = {version, lowest_priority_of(request.table->config())};
+  const auto retry_after =
+      overload.refuse(priority_of(*request.route, request.account),
+                      lowest_priority->second, metadata.request_id);
+  if (!retry_after) return false;
+  metrics.increment(counter::refused_overloaded);
+  if (log.admit_request(steady_clock::now(), true)) {
+    log.write("request_refused", {{"request", metadata.request_id},
+                                  {"route", request.route->name},
+                                  {"reason", "overload"},
+                                  {"level", overload.level()},
+                                  {"lag", overload.lag()}});
+  }
+  exchange.respond(
+      {.status = status_unavailable,
+       .headers = {{"Retry-After", format_seconds(*retry_after)}}});
+  return true;
+}
+
 void daemon::state::serve(std::shared_ptr<http::exchange> exchange) {
   check_pause();
   if (holds_requests()) {
@@ -198,6 +235,8 @@
           route->gathers()
               ? route->shards
               : std::vector{splits[route->name].next(route->split).service}};
+  if (refuse_overloaded(*admitted.exchange, admitted.metadata, admitted))
+    return;
   if (stop.begun()) admitted.stop_deadline = stop.answer_deadline();
   std::make_shared<request_task>(traffic, std::move(admitted))->start();
 }
--- a/packages/tier/src/fleet_load.cpp
+++ b/packages/tier/src/fleet_load.cpp
@@ -15,18 +15,26 @@
 
 }  // namespace
 
-void fleet_load::update_own(time_point now, std::uint64_t leaf_requests) {
-  const duration elapsed = now - measured_at_;
-  if (elapsed > duration::zero()) {
+void fleet_load::update_own(time_point now, const usage& used) {
+  const double elapsed =
+      std::chrono::duration<double>(now - measured_at_).count();
+  if (elapsed > 0) {
+    const auto rate = [elapsed](std::uint64_t after, std::uint64_t before) {
+      return static_cast<double>(after - before) / elapsed;
+    };
     const double cores_used =
-        static_cast<double>(leaf_requests - measured_requests_) *
-        std::chrono::duration<double>(leaf_request_cost) /
-        std::chrono::duration<double>(elapsed);
-    const double load = cores_used * load_units / options_.capacity;
+        rate(used.leaf_requests, measured_.leaf_requests) *
+        std::chrono::duration<double>(leaf_request_cost).count();
+    double load = cores_used * load_units / options_.capacity;
+    if (options_.link_rate > 0) {
+      load = std::max(
+          {load, rate(used.bytes_in, measured_.bytes_in) / options_.link_rate,
+           rate(used.bytes_out, measured_.bytes_out) / options_.link_rate});
+    }
     double& average = loads_[options_.id];
     average += sample_weight * (std::min(load, 1.0) - average);
   }
-  measured_requests_ = leaf_requests;
+  measured_ = used;
   measured_at_ = now;
 }
 
--- a/packages/tier/src/fleet_load.hpp
+++ b/packages/tier/src/fleet_load.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/// The processor load of each daemon: estimated for this daemon, reported by
+/// The load of each daemon's host: estimated for this daemon, reported by
 /// the others. No I/O; time is an argument.
 
 #include <cstdint>
@@ -18,16 +18,27 @@
     std::string id;
     /// Thousandths of a core of usual speed.
     std::uint32_t capacity = 1;
+    /// Bytes per second in each direction; 0: not known, so that only processor
+    /// time counts.
+    double link_rate = 0;
     time_point started_at{};
   };
 
   explicit fleet_load(options settings)
       : options_(std::move(settings)), measured_at_(options_.started_at) {}
 
-  /// Estimates this daemon's load from the number of requests that it has sent
-  /// to leafs so far. The process's processor time would mislead on hosts that
-  /// give a process only a share of a core.
-  void update_own(time_point now, std::uint64_t leaf_requests);
+  /// What this daemon has used since its start.
+  struct usage {
+    std::uint64_t leaf_requests = 0;
+    /// Bytes of requests and responses, in either direction.
+    std::uint64_t bytes_in = 0;
+    std::uint64_t bytes_out = 0;
+  };
+
+  /// Estimates this daemon's load from what it has used so far: that of its
+  /// processor or of its link, whichever is higher. The process's processor
+  /// time would mislead on hosts that give a process only a share of a core.
+  void update_own(time_point now, const usage& used);
 
   /// Sets the load that another daemon reported.
   void set_reported(const std::string& id, std::uint16_t thousandths);
@@ -41,7 +52,7 @@
  private:
   options options_;
   std::map<std::string, double> loads_;
-  std::uint64_t measured_requests_ = 0;
+  usage measured_;
   time_point measured_at_;
 };
 
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -72,13 +72,13 @@
           .max_wait = max_wait(route, deadline - started_at)};
 }
 
+}  // namespace
+
 std::uint32_t priority_of(const routes::route& route,
                           const routes::account* account) {
   return account ? account->priority.value_or(route.priority) : route.priority;
 }
 
-}  // namespace
-
 time_point request_deadline(time_point received_at,
                             const request_metadata& metadata,
                             const routes::route& route) {
@@ -157,6 +157,7 @@
 
 void request_task::start() {
   const time_point now = steady_clock::now();
+  context_.bytes_in += exchange_->request().body.size();
   for (const std::string& service : execution_.plan().services)
     context_.budget.add_request(now, service);
   exchange_->on_disconnect([self = shared_from_this()] {
@@ -206,9 +207,11 @@
            [self = shared_from_this(), to] {
              const duration remaining =
                  self->caller_deadline_ - steady_clock::now();
-             return http::serialize_request(
+             std::string text = http::serialize_request(
                  self->leaf_request_,
                  self->context_.platform.make_leaf_headers(*to, remaining));
+             self->context_.bytes_out += text.size();
+             return text;
            },
        .method = exchange_->request().method,
        .is_response =
@@ -297,6 +300,7 @@
                   : leafs::attempt_outcome::lost;
   } else {
     http::message& message = result.response.value().response;
+    context_.bytes_in += message.body.size();
     const response_metadata metadata =
         context_.platform.read_response_metadata(message);
     if (!metadata.misdirected) apply_report(now, open, metadata.report);
@@ -380,6 +384,7 @@
   } else {
     http::message response = make_response(result);
     status = response.status;
+    context_.bytes_out += response.body.size();
     exchange_->respond(std::move(response));
   }
   if (result.outcome == request_outcome::answered) {
--- a/packages/tier/src/request_task.hpp
+++ b/packages/tier/src/request_task.hpp
@@ -29,8 +29,16 @@
   /// Whether the view is current, so that leafs may be picked.
   std::function<bool()> may_send;
   leafs::attempt_id last_attempt_id = 0;
+  /// Bytes of requests and responses, without those of headers that are added
+  /// or removed.
+  std::uint64_t bytes_in = 0;
+  std::uint64_t bytes_out = 0;
 };
 
+/// The priority of a request; a higher one is less urgent.
+std::uint32_t priority_of(const routes::route& route,
+                          const routes::account* account);
+
 /// When the caller or the route stops waiting for a response, whichever is
 /// first.
 time_point request_deadline(time_point received_at,
--- a/packages/tier/src/settings.cpp
+++ b/packages/tier/src/settings.cpp
@@ -166,6 +166,7 @@
   constexpr double bytes_per_mb = 1 << 20;
   double memory_mb = static_cast<double>(parsed.memory_bytes) / bytes_per_mb;
   reader.read_optional("memory_mb", memory_mb);
+  reader.read_optional("link_mbps", parsed.link_mbps);
   if (reader.error()) return *reader.error();
   parsed.memory_bytes = static_cast<std::size_t>(memory_mb * bytes_per_mb);
   parsed.max_descriptors = static_cast<std::size_t>(descriptors);
--- a/packages/tier/tests/settings_test.cpp
+++ b/packages/tier/tests/settings_test.cpp
@@ -41,6 +41,13 @@
             (endpoint{"10.0.0.7", 93}));
 }
 
+TEST(tier_settings, link_bandwidth_is_optional) {
+  EXPECT_EQ(read_settings(settings_text()).value().link_mbps, 0);
+  std::string modified = settings_text();
+  modified.insert(modified.find("\"later\""), "\"link_mbps\":14,");
+  EXPECT_EQ(read_settings(modified).value().link_mbps, 14);
+}
+
 TEST(tier_settings, memory_limit_defaults_to_256_mb) {
   EXPECT_EQ(read_settings(settings_text()).value().memory_bytes,
             std::size_t{256} << 20);
