--- a/packages/tier/src/daemon_metrics.cpp
+++ b/packages/tier/src/daemon_metrics.cpp
@@ -16,7 +16,7 @@
                   "budget_empty",     "connections_opened",
                   "store_calls",      "peer_bytes",
                   "address_answers",  "unauthorized",
-                  "reports_ignored"};
+                  "reports_ignored",  "refused_overloaded"};
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(gauge::gauge_count)>
@@ -36,7 +36,10 @@
                 "loop_lag_seconds",
                 "leaf_in_flight_ratio",
                 "leaf_slowness_ratio",
-                "services_contended"};
+                "services_contended",
+
+                "overload_level",
+                "load"};
 
 }  // namespace
 
--- a/packages/tier/src/daemon_metrics.hpp
+++ b/packages/tier/src/daemon_metrics.hpp
@@ -32,7 +32,8 @@
   address_answers,
   unauthorized,     // requests without the key of an account
   reports_ignored,  // headers of leafs with a malformed or excessive value
-  counter_count     // the number of counters
+  refused_overloaded,
+  counter_count  // the number of counters
 };
 
 std::string_view name_of(counter which) noexcept;
@@ -57,6 +58,8 @@
   leaf_in_flight_ratio,
   leaf_slowness_ratio,
   services_contended,  // more daemons compete than their leafs have slots
+  overload_level,      // 0: not overloaded
+  load,                // fraction of the host in use
   gauge_count          // the number of gauges
 };
 
