membership, tier: a daemon that joins again gets its changes at once

A join response left out large notes also for a daemon that was paused and only lacks changes: it would have waited 0.3 s for the tree. Only a daemon without notes gets none now. Whether hosts are uneven is decided with hosts that failed, too, since small hosts need the guard most when the large ones are gone.

medlarloft_membership_tests: 20 passed. The tests of tier and platform were not run again for this commit yet.

--- a/packages/membership/src/spreading.cpp
+++ b/packages/membership/src/spreading.cpp
@@ -73,9 +73,10 @@
   return out;
 }
 
-// Notes of any size in the response would be sent to a new daemon by each seed,
-// and by each seed to all daemons when all start at once. The new daemon
-// requests large ones from one member.
+// Large notes in the response would be sent to a new daemon by each seed, and
+// by each seed to all daemons when all start at once. The new daemon requests
+// them from one member. A daemon that joins again after a pause lacks only a
+// few.
 void group::on_join(time_point /*now*/, outputs& out, const message& received) {
   const member_record* sender = find(received.from);
   if (sender == nullptr) return;
@@ -83,12 +84,11 @@
   for (const member_record& record : members()) {
     if (record.state != member_state::unheard) body.updates.push_back(record);
   }
-  if (received.version != 0 || !notes_are_large_) {
-    body.notes = notes_reader_(received.version);
-    if (text_bytes(body.notes) > options_.max_pushed_bytes) {
-      notes_are_large_ = true;
-      body.notes.clear();
-    }
+  const bool first = received.version == 0;
+  if (!first || !notes_are_large_) body.notes = notes_reader_(received.version);
+  if (first && text_bytes(body.notes) > options_.max_pushed_bytes) {
+    notes_are_large_ = true;
+    body.notes.clear();
   }
   out.messages.push_back({sender->control, sender->id, std::move(body)});
 }
--- a/packages/membership/tests/group_test.cpp
+++ b/packages/membership/tests/group_test.cpp
@@ -226,6 +226,16 @@
   EXPECT_EQ(joined.messages[0].message.version, 5U);
 }
 
+// A daemon that was paused serves nobody until its copy is confirmed, so that
+// one more round trip, and a wait for the tree, delays it.
+TEST_F(first_notes, are_part_of_the_response_to_a_daemon_that_joins_again) {
+  group seed = make_group("s");
+  seed.set_note(now_, 5, 5, "");
+  seed.receive(now_, from("a", message_kind::join));
+  const outputs joined = seed.receive(now_, from("b", message_kind::join, 4));
+  EXPECT_FALSE(joined.messages.at(0).message.notes.empty());
+}
+
 // Transfers to many new daemons at once share the link and all time out.
 TEST_F(first_notes, are_sent_to_few_and_the_others_referred_to_those) {
   group seed = make_group("s");
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -2,7 +2,6 @@
 #include <cstdlib>
 #include <numeric>
 
-#include "address_choice.hpp"
 #include "daemon_state.hpp"
 
 namespace medlarloft::tier {
@@ -155,12 +154,8 @@
   timers.after(sweep_period, [this] { sweep(); });
 }
 
-void daemon::state::update_unevenness() {
-  std::vector<address_candidate> hosts;
-  for (const member_record& member : distribution->members().members()) {
-    if (member.state == member_state::alive)
-      hosts.push_back({.capacity = member.capacity});
-  }
+void daemon::state::update_unevenness(
+    const std::vector<address_candidate>& hosts) {
   const bool was_uneven = std::exchange(uneven, has_uneven_hosts(hosts));
   if (uneven == was_uneven) return;
   log.write("uneven_hosts", {{"uneven", uneven}, {"members", hosts.size()}});
@@ -184,16 +179,12 @@
 
 void daemon::state::announce_load(time_point now) {
   if (!uneven) return;
-  std::uint32_t greatest = 0;
-  std::uint32_t own = 0;
-  for (const member_record& member : distribution->members().members()) {
-    greatest = std::max(greatest, member.capacity);
-    if (member.id == daemon_settings.id) own = member.capacity;
-  }
   const std::uint16_t load = loads.own_thousandths();
   const bool changed = std::abs(load - announced_load) >= announced_change;
   const bool due = changed || now - announced_at >= announcement_period;
-  if (own < greatest * large_ratio || !due) return;
+  const std::uint32_t own =
+      distribution->members().find(daemon_settings.id)->capacity;
+  if (own < greatest_capacity * large_ratio || !due) return;
   announced_load = load;
   announced_at = now;
   apply_group_outputs(distribution->send_status(now));
@@ -241,7 +232,14 @@
 
 // Shared limits are divided among all daemons that were recently reachable.
 void daemon::state::update_quotas(time_point now) {
+  // Includes hosts that failed: the small ones are needed most when the large
+  // ones are gone.
+  std::vector<address_candidate> hosts;
+  greatest_capacity = 0;
   for (const member_record& member : distribution->members().members()) {
+    if (member.state != member_state::unheard)
+      hosts.push_back({.capacity = member.capacity});
+    greatest_capacity = std::max(greatest_capacity, member.capacity);
     const bool reachable = member.state == member_state::alive ||
                            member.state == member_state::suspected ||
                            member.state == member_state::leaving;
@@ -253,7 +251,7 @@
   loads.retain([this](const std::string& id) { return quota.contains(id); });
   std::erase_if(not_ready,
                 [this](const auto& id) { return !quota.contains(id); });
-  update_unevenness();
+  update_unevenness(hosts);
   leafs.set_quota({.fraction = quota.connection_fraction(now),
                    .rate_fraction = quota.rate_fraction(),
                    .daemons = quota.daemon_count(),
--- a/packages/tier/src/daemon_state.hpp
+++ b/packages/tier/src/daemon_state.hpp
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "address_choice.hpp"
 #include "change_distribution.hpp"
 #include "connection_pool.hpp"
 #include "daemon_metrics.hpp"
@@ -50,7 +51,7 @@
   void schedule_membership_tick();
   void sweep();
   /// Starts or stops what only fleets of uneven hosts need.
-  void update_unevenness();
+  void update_unevenness(const std::vector<address_candidate>& hosts);
   void measure_lag();
   /// Tells the daemons of the data centre this one's load if it is a large host
   /// on which they rely.
@@ -123,6 +124,7 @@
   /// Whether the fleet's hosts differ so much that callers are directed by
   /// load; see `has_uneven_hosts`.
   bool uneven = false;
+  std::uint32_t greatest_capacity = 0;
   std::uint16_t announced_load = 0;
   time_point announced_at{};
   /// Daemons that last reported that they hold no records.
