leafs: every shared rate is computed in one place, and gains wait

A daemon's part of a cold leaf's rate was computed once, when the leaf was registered, with the number of daemons known at that moment: one after a restart of everything. A change of the configuration gave the token bucket the epoch of the clock as the time, after which cold leafs got nothing. The part of a stated limit changed only with the next response.

rate_shares computes both, again whenever members, configuration, record or report change. The part in use is the smallest of the last 2 s (handover_delay), so that the parts of all daemons add up to one at most while news of members take no longer. The order of daemons that a quota holds no longer changes with later members. A daemon that has just started sends nothing to cold leafs, and nothing more to a leaf that states a limit, for 2 s.

--- a/packages/base/include/medlarloft/base.hpp
+++ b/packages/base/include/medlarloft/base.hpp
@@ -127,6 +127,9 @@
   /// fewer.
   bool try_consume(time_point now, double count = 1.0) noexcept;
 
+  /// Changes the rate of the refill from now on.
+  void set_rate(time_point now, double rate_per_second) noexcept;
+
   /// Adds tokens in addition to the refill, up to `burst`.
   void add(double count) noexcept;
 
--- a/packages/base/src/base.cpp
+++ b/packages/base/src/base.cpp
@@ -71,6 +71,11 @@
   return true;
 }
 
+void token_bucket::set_rate(time_point now, double rate_per_second) noexcept {
+  refill(now);
+  options_.rate_per_second = rate_per_second;
+}
+
 void token_bucket::add(double count) noexcept {
   tokens_ = std::min(options_.burst, tokens_ + count);
 }
--- a/packages/fanout/tests/overload_test.cpp
+++ b/packages/fanout/tests/overload_test.cpp
@@ -142,10 +142,11 @@
   void add_daemon(std::uint64_t seed) {
     auto daemon = std::make_unique<simulated_daemon>(
         simulated_daemon{.leafs = {{.local_data_centre = "z"}, seed}});
-    daemon->leafs.set_quota({.fraction = 1.0 / daemons, .daemons = daemons});
+    daemon->leafs.set_quota(start,
+                            {.fraction = 1.0 / daemons, .daemons = daemons});
     for (std::size_t i = 0; i < leafs_.size(); ++i) {
       const std::string service = "s" + std::to_string(i / replicas);
-      daemon->leafs.set_limits(service, {.max_connections = 24});
+      daemon->leafs.set_limits(start, service, {.max_connections = 24});
       daemon->leafs.put(start, {.id = std::to_string(i),
                                 .service = service,
                                 .address = {"10.0.0.1", 80},
--- a/packages/leafs/include/medlarloft/leafs.hpp
+++ b/packages/leafs/include/medlarloft/leafs.hpp
@@ -104,6 +104,8 @@
   /// specific to the leaf; only the first `cold_burst` daemons may use the leaf
   /// while it is cold. If not set, the position is 0.
   std::function<std::size_t(std::string_view leaf)> daemon_index;
+  /// Differs whenever `daemon_index` may answer differently.
+  std::uint64_t members_version = 0;
 };
 
 /// Why no leaf can be picked. If leafs are unavailable for different reasons,
@@ -161,6 +163,7 @@
 
 class departed_leafs;
 class leaf_throttle;
+class rate_shares;
 
 /// The leafs of all services and the requests in flight to them.
 class leaf_set {
@@ -198,6 +201,10 @@
     /// A lower limit of a leaf counts as this many requests per second of all
     /// daemons together: only responses tell when the limit rises.
     double min_rate_limit = 0.5;
+    /// A part of a rate that this daemon gains is used only after this time.
+    /// Longer than a change of the members takes to reach all daemons, plus the
+    /// half second between two computations of the quota.
+    duration handover_delay = std::chrono::seconds(2);
     /// Upper bound of the pause that a leaf can ask for.
     duration max_pause = std::chrono::minutes(5);
   };
@@ -212,8 +219,13 @@
   void remove(time_point now, const std::string& id);
   /// Sets the data centres that are out: their leafs get no requests.
   void set_data_centres_out(std::set<std::string> data_centres);
-  void set_limits(const std::string& service, service_limits limits);
-  void set_quota(daemon_quota quota);
+  void set_limits(time_point now, const std::string& service,
+                  service_limits limits);
+  /// Sets how much of the shared limits this daemon may use; to be called
+  /// whenever members change, and regularly. A larger part of a rate is used
+  /// only after `handover_delay`. Until the first call this daemon is the only
+  /// one.
+  void set_quota(time_point now, daemon_quota quota);
 
   /// Returns the leaf that is expected to complete the request first. A work
   /// class groups requests of similar processing time, such as one route.
@@ -305,7 +317,8 @@
                   const open_attempt& attempt) const;
   void update_estimates(time_point now, leaf_state& leaf,
                         const open_attempt& attempt);
-  void set_cold_rate(time_point now, leaf_state& leaf);
+  /// Computes this daemon's parts of the rates of the leaf again.
+  void update_rates(time_point now, leaf_state& leaf);
 
   options options_;
   random_generator random_;
@@ -319,6 +332,7 @@
   std::unordered_map<std::string, duration> round_trips_;
   std::set<std::string> data_centres_out_;
   daemon_quota quota_;
+  std::shared_ptr<rate_shares> shares_;
 };
 
 }  // namespace medlarloft::leafs
--- a/packages/leafs/src/leaf_set.cpp
+++ b/packages/leafs/src/leaf_set.cpp
@@ -4,6 +4,7 @@
 #include "departed_leafs.hpp"
 #include "leaf_throttle.hpp"
 #include "medlarloft/leafs.hpp"
+#include "rate_shares.hpp"
 
 namespace medlarloft::leafs {
 namespace {
@@ -54,7 +55,11 @@
 leaf_set::leaf_set(options settings, std::uint64_t seed)
     : options_(std::move(settings)),
       random_(seed),
-      departed_(std::make_shared<departed_leafs>(departed_leafs::options{})) {}
+      departed_(std::make_shared<departed_leafs>(departed_leafs::options{})),
+      shares_(std::make_shared<rate_shares>(
+          rate_shares::options{.handover_delay = options_.handover_delay,
+                               .cold_users = options_.cold_burst,
+                               .min_stated_limit = options_.min_rate_limit})) {}
 
 leaf_handle leaf_set::put(time_point now,
                           const leaf_registration& registration) {
@@ -66,7 +71,8 @@
         return found->second;
       known.registration =
           std::make_shared<const leaf_registration>(registration);
-      known.throttle->set_cold_until(now + registration.cold_time_left);
+      known.throttle->set_cold_until(now, now + registration.cold_time_left);
+      update_rates(now, known);
       return found->second;
     }
     remove(now, registration.id);
@@ -80,10 +86,10 @@
   }
   leaf.registration = std::make_shared<const leaf_registration>(registration);
   leaf.registered = true;
-  leaf.throttle->set_cold_until(now + registration.cold_time_left);
+  leaf.throttle->set_cold_until(now, now + registration.cold_time_left);
   by_id_[registration.id] = handle;
   by_service_[registration.service].push_back(handle);
-  set_cold_rate(now, leaf);
+  update_rates(now, leaf);
   return handle;
 }
 
@@ -124,25 +130,31 @@
   data_centres_out_ = std::move(data_centres);
 }
 
-void leaf_set::set_limits(const std::string& service, service_limits limits) {
+void leaf_set::set_limits(time_point now, const std::string& service,
+                          service_limits limits) {
   limits_[service] = limits;
   for (const leaf_handle each : leafs_of(service))
-    set_cold_rate(steady_clock::time_point{}, *leafs_[each]);
+    update_rates(now, *leafs_[each]);
 }
 
-void leaf_set::set_quota(daemon_quota quota) {
+void leaf_set::set_quota(time_point now, daemon_quota quota) {
+  const bool was_settled = shares_->settled();
+  shares_->set_quota(now, quota);
   quota_ = std::move(quota);
+  if (was_settled && shares_->settled()) return;
+  for (const auto& [id, handle] : by_id_)
+    update_rates(now, *leafs_[handle]);
 }
 
 report_changes leaf_set::on_report(time_point now, leaf_handle handle,
                                    time_point sent_at,
                                    const leaf_report& report) {
   if (!leafs_[handle]) return {};
-  const auto own_rate = [this](double rate) {
-    return std::max(rate, options_.min_rate_limit) * quota_.rate_fraction;
-  };
-  return leafs_[handle]->throttle->on_report(now, sent_at, report, own_rate,
-                                             random_.uniform());
+  leaf_state& leaf = *leafs_[handle];
+  const report_changes changes =
+      leaf.throttle->on_report(now, sent_at, report, random_.uniform());
+  if (changes.limit) update_rates(now, leaf);
+  return changes;
 }
 
 time_point leaf_set::earliest_turn(time_point now,
@@ -159,12 +171,20 @@
 // The daemons that may use a cold leaf share its rate equally. Each bucket
 // holds one token at most, so that together they send at most `cold_burst`
 // requests at once.
-void leaf_set::set_cold_rate(time_point now, leaf_state& leaf) {
-  const auto limits = limits_.find(leaf.registration->service);
+void leaf_set::update_rates(time_point now, leaf_state& leaf) {
+  const leaf_registration& registration = *leaf.registration;
+  const auto limits = limits_.find(registration.service);
   const double rate =
       limits == limits_.end() ? 0.0 : limits->second.cold_rate_limit;
-  const auto users = std::min<std::size_t>(quota_.daemons, options_.cold_burst);
-  leaf.throttle->set_cold_rate(now, rate / static_cast<double>(users));
+  if (rate <= 0) {
+    leaf.throttle->set_cold_rate(now, std::nullopt);
+  } else if (leaf.throttle->cold(now)) {
+    leaf.throttle->set_cold_rate(
+        now, shares_->cold_rate(now, registration.id, rate));
+  }
+  if (const auto limit = leaf.throttle->rate_limit()) {
+    leaf.throttle->set_stated_rate(now, shares_->stated_rate(now, *limit));
+  }
 }
 
 std::vector<leaf_handle> leaf_set::leafs_of(const std::string& service) const {
@@ -252,13 +272,9 @@
 std::optional<unavailable_reason> leaf_set::leaf_unavailable_reason(
     time_point now, const leaf_state& leaf) const {
   if (!accepts_requests(leaf)) return unavailable_reason::none_registered;
-  const bool may_use_cold =
-      !leaf.throttle->cold(now) || !quota_.daemon_index ||
-      quota_.daemon_index(leaf.registration->id) < options_.cold_burst;
   return leaf.throttle->unavailable(now,
                                     {.in_flight = leaf.open_attempts.size(),
-                                     .max_in_flight = max_in_flight(leaf),
-                                     .may_use_cold = may_use_cold});
+                                     .max_in_flight = max_in_flight(leaf)});
 }
 
 double leaf_set::cost(time_point now, const leaf_state& leaf,
--- a/packages/leafs/src/leaf_throttle.cpp
+++ b/packages/leafs/src/leaf_throttle.cpp
@@ -19,11 +19,26 @@
 
 }  // namespace
 
-void leaf_throttle::set_cold_rate(time_point now, double rate) {
-  cold_tokens_.reset();
-  if (rate <= 0) return;
-  cold_tokens_ = token_bucket({.rate_per_second = rate, .burst = 1});
-  cold_tokens_->try_consume(now, 1);
+void leaf_throttle::set_cold_until(time_point now, time_point until) {
+  // What was saved up before belongs to an earlier cold phase.
+  if (!cold(now)) cold_tokens_.reset();
+  cold_until_ = until;
+}
+
+void leaf_throttle::set_cold_rate(time_point now, std::optional<double> rate) {
+  const bool starts_empty = !cold_tokens_ || rate == 0;
+  if (!rate) {
+    cold_tokens_.reset();
+  } else if (starts_empty) {
+    cold_tokens_ = token_bucket({.rate_per_second = *rate, .burst = 1});
+    cold_tokens_->set_rate(now, *rate);
+  } else {
+    cold_tokens_->set_rate(now, *rate);
+  }
+}
+
+void leaf_throttle::set_stated_rate(time_point now, double rate) {
+  if (stated_limit_) stated_limit_->pacer.set_period(now, period_of(rate));
 }
 
 std::optional<unavailable_reason> leaf_throttle::unavailable(
@@ -36,8 +51,7 @@
     return unavailable_reason::all_busy;
   if (cold(now) && cold_tokens_) {
     token_bucket tokens = *cold_tokens_;
-    if (!own.may_use_cold || !tokens.try_consume(now))
-      return unavailable_reason::all_busy;
+    if (!tokens.try_consume(now)) return unavailable_reason::all_busy;
   }
   if (stated_limit_ && !stated_limit_->pacer.admits(now))
     return unavailable_reason::all_limited;
@@ -86,11 +100,10 @@
                                   options_.max_ejection);
 }
 
-report_changes leaf_throttle::on_report(
-    time_point now, time_point sent_at, const leaf_report& report,
-    const std::function<double(double)>& own_rate, double phase) {
-  report_changes changes{
-      .limit = update_limit(now, sent_at, report, own_rate, phase)};
+report_changes leaf_throttle::on_report(time_point now, time_point sent_at,
+                                        const leaf_report& report,
+                                        double phase) {
+  report_changes changes{.limit = update_limit(now, sent_at, report, phase)};
   if (report.pause) {
     changes.pause_shortened = *report.pause > options_.max_pause;
     const time_point until = now + std::min(*report.pause, options_.max_pause);
@@ -106,16 +119,13 @@
 // holds. A lower limit holds at once; a higher one, or none, only if the
 // request was sent after the last statement had arrived.
 bool leaf_throttle::update_limit(time_point now, time_point sent_at,
-                                 const leaf_report& report,
-                                 const std::function<double(double)>& own_rate,
-                                 double phase) {
+                                 const leaf_report& report, double phase) {
   if (report.limit_malformed) return false;
   if (!stated_limit_) {
     if (!report.rate_limit) return false;
-    const duration period = period_of(own_rate(*report.rate_limit));
     stated_limit_ = {.rate = *report.rate_limit,
                      .stated_at = now,
-                     .pacer = request_pacer(now, period, phase)};
+                     .pacer = request_pacer(now, period_of(0), phase)};
     return true;
   }
   const bool lower =
@@ -128,8 +138,6 @@
   stated_limit_->stated_at = now;
   const double previous =
       std::exchange(stated_limit_->rate, *report.rate_limit);
-  // This daemon's part may have changed as well.
-  stated_limit_->pacer.set_period(now, period_of(own_rate(*report.rate_limit)));
   return *report.rate_limit != previous;
 }
 
--- a/packages/leafs/src/leaf_throttle.hpp
+++ b/packages/leafs/src/leaf_throttle.hpp
@@ -24,16 +24,16 @@
   struct quota {
     std::size_t in_flight = 0;
     std::size_t max_in_flight = 1;
-    /// Whether this daemon is one of those that use the leaf while it is cold.
-    bool may_use_cold = true;
   };
 
   explicit leaf_throttle(options settings) : options_(settings) {}
 
-  void set_cold_until(time_point until) { cold_until_ = until; }
+  void set_cold_until(time_point now, time_point until);
   /// Sets the requests per second that this daemon may send to the cold leaf;
-  /// zero: no limit.
-  void set_cold_rate(time_point now, double rate);
+  /// nothing: no limit. A daemon that had no part starts without a token.
+  void set_cold_rate(time_point now, std::optional<double> rate);
+  /// Sets this daemon's part of the limit that the leaf states.
+  void set_stated_rate(time_point now, double rate);
 
   /// Returns why no request may be sent now; nothing if one may be sent.
   std::optional<unavailable_reason> unavailable(time_point now,
@@ -44,12 +44,10 @@
                 duration expected_time);
 
   /// Takes over what the leaf said in its response to a request sent at
-  /// `sent_at`. `own_rate` returns this daemon's part of a rate, and `phase`,
-  /// in [0, 1), differs between daemons.
+  /// `sent_at`. `phase`, in [0, 1), differs between daemons. A limit that
+  /// changed has no rate until `set_stated_rate` is called.
   report_changes on_report(time_point now, time_point sent_at,
-                           const leaf_report& report,
-                           const std::function<double(double)>& own_rate,
-                           double phase);
+                           const leaf_report& report, double phase);
 
   bool ejected() const noexcept;
   /// The leaf said that it leaves. It gets no more requests.
@@ -72,9 +70,7 @@
   };
 
   bool update_limit(time_point now, time_point sent_at,
-                    const leaf_report& report,
-                    const std::function<double(double)>& own_rate,
-                    double phase);
+                    const leaf_report& report, double phase);
   void record_failure(time_point now, bool eject_now);
 
   options options_;
--- a/packages/leafs/tests/leaf_reports_test.cpp
+++ b/packages/leafs/tests/leaf_reports_test.cpp
@@ -24,7 +24,7 @@
 
 class leaf_reports : public ::testing::Test {
  protected:
-  leaf_reports() { set.set_limits("s", {.max_connections = 40}); }
+  leaf_reports() { set.set_limits(start, "s", {.max_connections = 40}); }
 
   leaf_set set{{.local_data_centre = "near"}, 7};
 };
@@ -198,7 +198,7 @@
 TEST(leaf_reports_property, each_start_of_a_leaf_leaves_by_its_own_word) {
   EXPECT_TRUE(rc::check([](const std::vector<std::uint8_t>& steps) {
     leaf_set set({.local_data_centre = "near"}, 7);
-    set.set_limits("s", {.max_connections = 40});
+    set.set_limits(start, "s", {.max_connections = 40});
     std::map<std::string, std::int64_t> starts{{"a", 1}, {"b", 1}};
     using leaf_start = std::pair<std::string, std::int64_t>;
     std::map<leaf_handle, leaf_start> handles;
--- a/packages/leafs/tests/leaf_set_test.cpp
+++ b/packages/leafs/tests/leaf_set_test.cpp
@@ -12,6 +12,8 @@
 using std::chrono::seconds;
 
 const time_point start = time_point{} + std::chrono::hours(1);
+/// The quota has been known for longer than the handover delay.
+const time_point known_since = start - seconds(10);
 
 leaf_registration leaf(std::string id, std::string data_centre = "near") {
   return {.id = std::move(id),
@@ -23,7 +25,7 @@
 
 class leaf_set_test : public ::testing::Test {
  protected:
-  leaf_set_test() { set.set_limits("s", {.max_connections = 40}); }
+  leaf_set_test() { set.set_limits(start, "s", {.max_connections = 40}); }
 
   /// Sends one request, which ends after `response_time`.
   void run(time_point sent_at, leaf_handle leaf, duration response_time,
@@ -42,8 +44,8 @@
 // still be cancelled in time.
 TEST_F(leaf_set_test, a_burst_does_not_queue_at_the_last_leaf_of_a_shard) {
   constexpr std::size_t daemons = 7;
-  set.set_limits("s", {.max_connections = 36});
-  set.set_quota({.fraction = 1.0 / daemons, .daemons = daemons});
+  set.set_limits(start, "s", {.max_connections = 36});
+  set.set_quota(known_since, {.fraction = 1.0 / daemons, .daemons = daemons});
   set.put(start, leaf("a"));
   std::size_t in_flight = 0;
   while (const auto picked = set.pick(start, "s", "w")) {
@@ -204,7 +206,7 @@
 }
 
 TEST_F(leaf_set_test, uses_no_more_connections_than_its_quota) {
-  set.set_quota({.fraction = 1.0 / 20, .daemons = 20});
+  set.set_quota(known_since, {.fraction = 1.0 / 20, .daemons = 20});
   const leaf_handle only = set.put(start, leaf("a"));
   EXPECT_EQ(set.connection_limit("s"), 2U);
   set.on_attempt_sent(start, only, 1, "w");
@@ -222,10 +224,10 @@
     for (std::size_t i = 0; i < daemons; ++i) {
       all.emplace_back(leaf_set::options{.local_data_centre = "near"}, i);
       all.back().set_quota(
-          {.fraction = 1.0 / static_cast<double>(daemons),
-           .daemons = daemons,
-           .daemon_index = [i](std::string_view) { return i; }});
-      all.back().set_limits("s",
+          known_since, {.fraction = 1.0 / static_cast<double>(daemons),
+                        .daemons = daemons,
+                        .daemon_index = [i](std::string_view) { return i; }});
+      all.back().set_limits(start, "s",
                             {.max_connections = 1000, .cold_rate_limit = rate});
       leaf_registration cold = leaf("a");
       cold.cold_time_left = seconds(10);
--- a/packages/leafs/tests/stated_limit_test.cpp
+++ b/packages/leafs/tests/stated_limit_test.cpp
@@ -15,6 +15,8 @@
 using std::chrono::seconds;
 
 const time_point start = time_point{} + std::chrono::hours(1);
+/// The quota has been known for longer than the handover delay.
+const time_point known_since = start - seconds(10);
 /// The target: in this time a leaf gets at most `target_factor` times what its
 /// limit allows, and `target_slack` requests more.
 constexpr duration target_window = seconds(4);
@@ -54,11 +56,11 @@
       daemons_.push_back(std::make_unique<leaf_set>(
           leaf_set::options{.local_data_centre = "near"},
           hash_combine(seed, i)));
-      daemons_.back()->set_limits("s", {.max_connections = 40});
+      daemons_.back()->set_limits(start, "s", {.max_connections = 40});
       daemons_.back()->set_quota(
-          {.fraction = 1.0 / static_cast<double>(daemons),
-           .rate_fraction = 1.0 / static_cast<double>(daemons),
-           .daemons = daemons});
+          known_since, {.fraction = 1.0 / static_cast<double>(daemons),
+                        .rate_fraction = 1.0 / static_cast<double>(daemons),
+                        .daemons = daemons});
       daemons_.back()->put(start, leaf("a"));
     }
   }
@@ -146,8 +148,8 @@
 class stated_limit_of_one_leaf : public ::testing::Test {
  protected:
   stated_limit_of_one_leaf() {
-    set.set_limits("s", {.max_connections = 40});
-    set.set_quota({.rate_fraction = 0.1, .daemons = 10});
+    set.set_limits(start, "s", {.max_connections = 40});
+    set.set_quota(known_since, {.rate_fraction = 0.1, .daemons = 10});
     a = set.put(start, leaf("a"));
   }
   bool limited_at(time_point now) const {
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -179,12 +179,11 @@
   }
   quota.remove_expired(now);
   loads.retain([this](const std::string& id) { return quota.contains(id); });
-  leafs.set_quota({.fraction = quota.connection_fraction(now),
-                   .rate_fraction = quota.rate_fraction(),
-                   .daemons = quota.daemon_count(),
-                   .daemon_index = [this](std::string_view leaf) {
-                     return quota.daemon_index(leaf);
-                   }});
+  leafs.set_quota(now, {.fraction = quota.connection_fraction(now),
+                        .rate_fraction = quota.rate_fraction(),
+                        .daemons = quota.daemon_count(),
+                        .daemon_index = quota.daemon_order(),
+                        .members_version = quota.members_version()});
   budget.set_slack_fraction(quota.fraction());
 }
 
--- a/packages/tier/src/quota_calculator.cpp
+++ b/packages/tier/src/quota_calculator.cpp
@@ -1,19 +1,29 @@
 #include "quota_calculator.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
+#include <utility>
 
 namespace medlarloft::tier {
 
 void quota_calculator::set_reachable(time_point now, const std::string& id,
                                      std::uint32_t capacity) {
-  daemons_[id] = {capacity, now};
+  const bool added =
+      daemons_.insert_or_assign(id, daemon{capacity, now}).second;
+  if (added) on_members_changed();
+}
+
+void quota_calculator::on_members_changed() {
+  ++members_version_;
+  ids_.reset();
 }
 
 void quota_calculator::remove_expired(time_point now) {
-  std::erase_if(daemons_, [this, now](const auto& entry) {
+  const auto removed = std::erase_if(daemons_, [this, now](const auto& entry) {
     return now - entry.second.last_reachable > options_.removal_delay;
   });
+  if (removed > 0) on_members_changed();
   const double total = total_capacity();
   const bool peak_expired = now - peak_at_ > options_.peak_retention;
   if (total < peak_capacity_ && !peak_expired) return;
@@ -48,12 +58,21 @@
   return fraction() * (starting ? options_.startup_fraction : 1.0);
 }
 
-std::size_t quota_calculator::daemon_index(std::string_view leaf) const {
-  const std::uint64_t own_hash = hash64(options_.id, hash64(leaf));
-  return static_cast<std::size_t>(
-      std::ranges::count_if(daemons_, [leaf, own_hash](const auto& entry) {
-        return hash64(entry.first, hash64(leaf)) < own_hash;
-      }));
+std::function<std::size_t(std::string_view)> quota_calculator::daemon_order() {
+  if (!ids_) {
+    std::vector<std::string> ids;
+    std::ranges::transform(daemons_, std::back_inserter(ids),
+                           [](const auto& entry) { return entry.first; });
+    ids_ = std::make_shared<const std::vector<std::string>>(std::move(ids));
+  }
+  return [own_id = options_.id, ids = ids_](std::string_view leaf) {
+    const std::uint64_t leaf_hash = hash64(leaf);
+    const std::uint64_t own_hash = hash64(own_id, leaf_hash);
+    return static_cast<std::size_t>(
+        std::ranges::count_if(*ids, [&](const std::string& id) {
+          return hash64(id, leaf_hash) < own_hash;
+        }));
+  };
 }
 
 }  // namespace medlarloft::tier
--- a/packages/tier/src/quota_calculator.hpp
+++ b/packages/tier/src/quota_calculator.hpp
@@ -5,9 +5,12 @@
 /// retry budget. Fractions are proportional to the capacity of the hosts, since
 /// callers are directed to the large ones. No I/O; time is an argument.
 
+#include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "medlarloft/base.hpp"
 
@@ -53,8 +56,11 @@
   double rate_fraction() const;
   std::size_t daemon_count() const noexcept { return daemons_.size(); }
   bool contains(const std::string& id) const { return daemons_.contains(id); }
-  /// Index of this daemon in an order of all daemons that differs by leaf.
-  std::size_t daemon_index(std::string_view leaf) const;
+  /// Returns a function for the index of this daemon in an order of all daemons
+  /// that differs by leaf. It stays as it is when members change later.
+  std::function<std::size_t(std::string_view leaf)> daemon_order();
+  /// Changes whenever `daemon_order()` does.
+  std::uint64_t members_version() const noexcept { return members_version_; }
 
  private:
   struct daemon {
@@ -62,10 +68,14 @@
     time_point last_reachable;
   };
 
+  void on_members_changed();
   double total_capacity() const;
 
   options options_;
   std::map<std::string, daemon> daemons_;
+  std::uint64_t members_version_ = 0;
+  /// The ids of `daemons_`, null once these have changed.
+  std::shared_ptr<const std::vector<std::string>> ids_;
   /// The largest recent `total_capacity()`, and when it last had that value.
   double peak_capacity_ = 0;
   time_point peak_at_{};
--- a/packages/tier/src/store_view.cpp
+++ b/packages/tier/src/store_view.cpp
@@ -49,7 +49,7 @@
                               std::string_view source) {
   record read = platform_.read_record(update.key, *update.value);
   if (auto* configuration = std::get_if<routes::configuration>(&read)) {
-    apply_configuration(std::move(*configuration), source);
+    apply_configuration(now, std::move(*configuration), source);
   } else if (const auto* leaf = std::get_if<leafs::leaf_registration>(&read)) {
     const leafs::leaf_handle handle = leafs_.put(now, *leaf);
     log_.write("leaf_registered", {{"leaf", leaf->id},
@@ -92,12 +92,14 @@
   // The configuration in force stays when its record is removed.
 }
 
-void store_view::apply_configuration(routes::configuration configuration,
+void store_view::apply_configuration(time_point now,
+                                     routes::configuration configuration,
                                      std::string_view source) {
   if (table_ && configuration.version <= table_->version()) return;
   for (const auto& [name, service] : configuration.services) {
-    leafs_.set_limits(name, {.max_connections = service.max_connections,
-                             .cold_rate_limit = service.cold_rate_limit});
+    leafs_.set_limits(now, name,
+                      {.max_connections = service.max_connections,
+                       .cold_rate_limit = service.cold_rate_limit});
   }
   log_.write("configuration_in_force",
              {{"version", configuration.version},
--- a/packages/tier/src/store_view.hpp
+++ b/packages/tier/src/store_view.hpp
@@ -39,7 +39,7 @@
                     std::string_view source);
   void apply_removal(time_point now, const std::string& key,
                      std::string_view source);
-  void apply_configuration(routes::configuration configuration,
+  void apply_configuration(time_point now, routes::configuration configuration,
                            std::string_view source);
 
   const adapter& platform_;
--- a/packages/tier/tests/quota_calculator_test.cpp
+++ b/packages/tier/tests/quota_calculator_test.cpp
@@ -110,7 +110,7 @@
     quota_calculator quota({.id = "d" + std::to_string(self)});
     for (int i = 0; i < 9; ++i)
       quota.set_reachable(start, "d" + std::to_string(i), 1);
-    indexes.insert(quota.daemon_index("leaf"));
+    indexes.insert(quota.daemon_order()("leaf"));
   }
   EXPECT_EQ(indexes.size(), 9U);
 }
