--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -259,12 +259,11 @@
   std::erase_if(not_ready,
                 [this](const auto& id) { return !quota.contains(id); });
   update_unevenness(hosts);
-  leafs.set_quota({.fraction = quota.connection_fraction(now),
-                   .rate_fraction = quota.rate_fraction(),
-                   .daemons = quota.daemon_count(),
-                   .daemon_index = [this](std::string_view leaf) {
-                     return quota.daemon_index(leaf);
-                   }});
+  leafs.set_quota(now, {.fraction = quota.connection_fraction(now),
+                        .rate_fraction = quota.rate_fraction(),
+                        .daemons = quota.daemon_count(),
+                        .daemon_index = quota.daemon_order(),
+                        .members_version = quota.members_version()});
   budget.set_slack_fraction(quota.fraction());
 }
 
