peers: messages about quotas

They are of a kind that older daemons refuse to decode, so that they do not count as messages of the membership protocol.

--- a/packages/peers/include/medlarloft/peers.hpp
+++ b/packages/peers/include/medlarloft/peers.hpp
@@ -8,11 +8,13 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "medlarloft/base.hpp"
 #include "medlarloft/membership.hpp"
 #include "medlarloft/query.hpp"
+#include "medlarloft/quota.hpp"
 #include "medlarloft/timeline.hpp"
 
 namespace medlarloft::peers {
@@ -240,7 +242,14 @@
 std::size_t encoded_size(const subquery& work);
 enum class wire_errc { malformed };
 using wire_error = basic_error<wire_errc>;
-/// Decodes one control message.
+/// Decodes one control message of the membership protocol.
 result<membership::message, wire_error> decode(std::string_view bytes);
 
+/// Encodes a message about quotas. It travels like a control message, but is of
+/// a kind that `decode`, and so every older daemon, refuses.
+std::string encode(const quota::quota_message& message);
+using any_message = std::variant<membership::message, quota::quota_message>;
+/// Decodes one message of either kind.
+result<any_message, wire_error> decode_any(std::string_view bytes);
+
 }  // namespace medlarloft::peers
--- a/packages/peers/schema/wire.capnp
+++ b/packages/peers/schema/wire.capnp
@@ -108,6 +108,34 @@
   leaving @3 :UInt8;  # 0: unknown, 1: leaving, 2: not leaving
 }
 
+# A time on the clock of the process that wrote it; others return it unchanged.
+struct ProcessTime {
+  process @0 :UInt64;
+  time @1 :Int64;
+}
+
+struct Tokens {
+  age @0 :Int64;
+  amount @1 :Float64;
+}
+
+struct QuotaEntry {
+  account @0 :Text;
+  needed @1 :UInt32;
+  ahead @2 :UInt32;
+  granted @3 :List(Tokens);
+  rate @4 :Float64;
+  retryAfter @5 :Int64;
+}
+
+struct Quota {
+  answer @0 :Bool;
+  sent @1 :ProcessTime;
+  echo @2 :ProcessTime;
+  creation @3 :Tokens;
+  entries @4 :List(QuotaEntry);
+}
+
 struct Message {
   kind @0 :UInt8;
   sender @1 :Text;
@@ -126,6 +154,8 @@
   load @12 :UInt16;
   # The sender reads the store for other daemons and gets no answer.
   sourceFails @13 :Bool;
+  # Only in messages of kind 9, which older daemons ignore.
+  quota @14 :Quota;
 }
 
 interface Control {
--- a/packages/peers/src/wire_codec.cpp
+++ b/packages/peers/src/wire_codec.cpp
@@ -256,14 +256,19 @@
   return capnp::messageToFlatArray(builder).asBytes().size();
 }
 
-result<membership::message, wire_error> decode(std::string_view bytes) {
+namespace {
+
+/// Calls `read` with the message in the bytes.
+template <class Value, class Read>
+result<Value, wire_error> decode_with(std::string_view bytes,
+                                      const Read& read) {
   // Cap'n Proto needs aligned words; the text may be unaligned.
   auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
   std::copy_n(bytes.begin(), words.asBytes().size(),
               reinterpret_cast<char*>(words.begin()));
   try {
     capnp::FlatArrayMessageReader reader(words);
-    return detail::read(reader.getRoot<wire::Message>());
+    return Value(read(reader.getRoot<wire::Message>()));
   } catch (const kj::Exception& error) {
     return wire_error{wire_errc::malformed, error.getDescription().cStr()};
   } catch (const std::exception& error) {
@@ -271,4 +276,28 @@
   }
 }
 
+}  // namespace
+
+std::string encode(const quota::quota_message& message) {
+  capnp::MallocMessageBuilder builder;
+  detail::write(message, builder.initRoot<wire::Message>());
+  const auto words = capnp::messageToFlatArray(builder);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+result<membership::message, wire_error> decode(std::string_view bytes) {
+  return decode_with<membership::message>(
+      bytes, [](wire::Message::Reader from) { return detail::read(from); });
+}
+
+result<any_message, wire_error> decode_any(std::string_view bytes) {
+  return decode_with<any_message>(
+      bytes, [](wire::Message::Reader from) -> any_message {
+        if (from.getKind() == detail::quota_kind)
+          return detail::read_quota(from);
+        return detail::read(from);
+      });
+}
+
 }  // namespace medlarloft::peers
--- a/packages/peers/src/wire_codec.hpp
+++ b/packages/peers/src/wire_codec.hpp
@@ -23,6 +23,13 @@
 void write(const membership::message& from, wire::Message::Builder to);
 membership::message read(wire::Message::Reader from);
 
+/// `wire::Message::kind` of messages about quotas, beyond those of membership.
+inline constexpr std::uint8_t quota_kind = 9;
+static_assert(quota_kind >
+              static_cast<int>(membership::message_kind::server_reports));
+void write(const quota::quota_message& from, wire::Message::Builder to);
+quota::quota_message read_quota(wire::Message::Reader from);
+
 /// Returns the text of a Cap'n Proto text field.
 inline std::string text_of(capnp::Text::Reader from) {
   return {from.cStr(), from.size()};
--- a/packages/peers/tests/peers_test.cpp
+++ b/packages/peers/tests/peers_test.cpp
@@ -161,6 +161,30 @@
   EXPECT_EQ(read.value().notes[0].text, "a\0b\0"s);
 }
 
+// An older daemon must refuse a message about quotas: read as one of the
+// membership protocol, it would count as a sign of life.
+TEST(control, carries_quota_messages_that_older_daemons_refuse) {
+  const quota::quota_message message{
+      .from = "d1",
+      .is_answer = true,
+      .sent = {.process = 7, .time = 8ns},
+      .echo = {.process = 9, .time = 10ns},
+      .creation = {.age = 400ms, .amount = 0.25},
+      .accounts = {{.account = "a",
+                    .needed = 3,
+                    .ahead = 4,
+                    .granted = {{.age = 1s, .amount = 2.5}},
+                    .rate = 12.5,
+                    .retry_after = 70ms}}};
+  const std::string bytes = encode(message);
+  EXPECT_FALSE(decode(bytes));
+  const auto decoded = decode_any(bytes);
+  ASSERT_TRUE(decoded);
+  const auto* read = std::get_if<quota::quota_message>(&decoded.value());
+  ASSERT_NE(read, nullptr);
+  EXPECT_EQ(*read, message);
+}
+
 TEST(control, refuses_malformed_bytes) {
   EXPECT_FALSE(decode("nonsense, and not a message at all").has_value());
   membership::message malformed;
