quota: the test of late requests asks a coordinator that has its tokens

The second check asked a coordinator whose tokens had been granted by the first one, and passed also with the age of a request left out (planted fault on a scratch copy). Now each check has a coordinator of its own.

--- a/packages/quota/tests/messages_test.cpp
+++ b/packages/quota/tests/messages_test.cpp
@@ -76,8 +76,9 @@
 TEST(quota_messages, a_late_request_brings_old_tokens) {
   coordinator receiver = make_coordinator();
   receiver.receive(start + milliseconds(1900), gift(start, start));
+  coordinator same = receiver;
   EXPECT_EQ(granted(receiver, start + milliseconds(2800)), 10);
-  EXPECT_EQ(granted(receiver, start + milliseconds(3100)), 0);
+  EXPECT_EQ(granted(same, start + milliseconds(3100)), 0);
   receiver.receive(start + milliseconds(4100),
                    gift(start + seconds(1), start + seconds(2)));
   EXPECT_EQ(granted(receiver, start + milliseconds(4100)), 0);
