tier: requests take tokens of their account's quota

A request of an account with a quota takes a token before it starts. A request that ends before it was sent to a leaf gives its token back. Messages about quotas use the datagram socket of the membership protocol; accounts without a quota cause no message and no timer. A daemon that stops is no candidate for coordinator any more, and one that was paused drops its tokens.

Settings quota.window, quota.excess and quota.slack are optional. Log events request_over_quota and quota_coordinator, counters requests_over_quota and quota_messages, gauge quota_tokens_held.

--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -19,6 +19,7 @@
 #include "medlarloft/fanout.hpp"
 #include "medlarloft/http.hpp"
 #include "medlarloft/leafs.hpp"
+#include "medlarloft/quota.hpp"
 #include "medlarloft/replica.hpp"
 #include "medlarloft/routes.hpp"
 
@@ -59,6 +60,8 @@
     duration window = std::chrono::seconds(10);
     double slack = 0;
   } retries;
+  /// How far the requests of an account may exceed its quota in a window.
+  quota::tolerance quota;
   propagation_limits act_within;
   /// From the stop signal to the end of the process.
   duration stop_within = std::chrono::seconds(6);
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -107,6 +107,17 @@
       quota({.id = daemon_settings.id,
              .capacity = capacity_of(daemon_settings),
              .started_at = started_at}),
+      account_quotas(
+          timers,
+          {.id = daemon_settings.id,
+           .process = hash_combine(seed, 4) | 1,
+           .allowed = daemon_settings.quota},
+          {.send = [this](const auto& message) { send_quota_message(message); },
+           .on_coordinator_changed =
+               [this](const std::string& id, std::string_view reason) {
+                 log.write("quota_coordinator",
+                           {{"coordinator", id}, {"reason", reason}});
+               }}),
       loads({.id = daemon_settings.id,
              .capacity = capacity_of(daemon_settings),
              .started_at = started_at}),
@@ -239,7 +250,14 @@
               }});
   link = std::make_shared<peer_link>(
       loop, timers, daemon_settings.listen.control,
-      [this](const membership::message& message) { handle_message(message); });
+      peer_link::handlers{.on_message =
+                              [this](const membership::message& message) {
+                                handle_message(message);
+                              },
+                          .on_quota_message =
+                              [this](const quota::quota_message& message) {
+                                handle_quota_message(message);
+                              }});
   if (auto started = link->start(); !started) return started.error();
   apply_group_outputs(distribution->start(steady_clock::now()));
   start_store_reader();
@@ -281,6 +299,7 @@
                          {"running", caller_server->active_requests()}});
   caller_server->drain();
   apply_group_outputs(distribution->leave(now, member_state::leaving));
+  update_quota_coordinators();
   continue_stop();
 }
 
--- a/packages/tier/src/daemon_group.cpp
+++ b/packages/tier/src/daemon_group.cpp
@@ -104,6 +104,7 @@
   const auto pause = pauses.check(now, uptime());
   if (!pause) return;
   log.write("woke_late", {{"after", *pause}});
+  account_quotas.reset();
   apply_group_outputs(distribution->reset_after_pause(now));
   if (!store->active()) return;
   store->set_active(false, 0);
@@ -164,6 +165,7 @@
   metrics.set(gauge::requests_running,
               to_double(caller_server->active_requests()));
   metrics.set(gauge::requests_waiting, to_double(queue.size()));
+  metrics.set(gauge::quota_tokens_held, account_quotas.tokens_held());
   metrics.set(gauge::loop_lag_seconds, seconds(loop_lag).count());
 }
 
@@ -186,6 +188,35 @@
                      return quota.daemon_index(leaf);
                    }});
   budget.set_slack_fraction(quota.fraction());
+  account_quotas.set_fraction(quota.rate_fraction());
+  account_quotas.set_table(view.table());
+  update_quota_coordinators();
+}
+
+// A daemon that is leaving coordinates no more, so that the others choose
+// another one while this one still answers them.
+void daemon::state::update_quota_coordinators() {
+  std::map<std::string, std::uint32_t> candidates;
+  for (const member_record& member : distribution->members().members()) {
+    const bool reachable = member.state == member_state::alive ||
+                           member.state == member_state::suspected;
+    const bool leaving = member.id == daemon_settings.id && stop.begun();
+    if (reachable && !leaving) candidates[member.id] = member.capacity;
+  }
+  account_quotas.set_candidates(candidates);
+}
+
+void daemon::state::send_quota_message(const quota::envelope& message) {
+  const member_record* to = distribution->members().find(message.to);
+  if (to == nullptr) return;
+  metrics.increment(counter::quota_messages);
+  link->send(to->control, message.message);
+}
+
+void daemon::state::handle_quota_message(const quota::quota_message& message) {
+  check_pause();
+  account_quotas.set_table(view.table());
+  account_quotas.receive(message);
 }
 
 }  // namespace medlarloft::tier
--- a/packages/tier/src/daemon_metrics.cpp
+++ b/packages/tier/src/daemon_metrics.cpp
@@ -16,7 +16,8 @@
                   "budget_empty",     "connections_opened",
                   "store_calls",      "peer_bytes",
                   "address_answers",  "unauthorized",
-                  "reports_ignored"};
+                  "reports_ignored",  "requests_over_quota",
+                  "quota_messages"};
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(gauge::gauge_count)>
@@ -26,7 +27,7 @@
                 "leafs_limited",         "leafs_paused",
                 "leafs_leaving",         "leaf_requests_open",
                 "requests_running",      "requests_waiting",
-                "loop_lag_seconds"};
+                "loop_lag_seconds",      "quota_tokens_held"};
 
 }  // namespace
 
--- a/packages/tier/src/daemon_metrics.hpp
+++ b/packages/tier/src/daemon_metrics.hpp
@@ -32,7 +32,9 @@
   address_answers,
   unauthorized,     // requests without the key of an account
   reports_ignored,  // headers of leafs with a malformed or excessive value
-  counter_count     // the number of counters
+  requests_over_quota,
+  quota_messages,  // sent to other daemons
+  counter_count    // the number of counters
 };
 
 std::string_view name_of(counter which) noexcept;
@@ -50,9 +52,10 @@
   leafs_leaving,       // registered, and said that they leave
   leaf_requests_open,  // sent and not ended
   requests_running,
-  requests_waiting,  // entries in the wait queues for a free leaf
-  loop_lag_seconds,  // delay of the last periodic sweep
-  gauge_count        // the number of gauges
+  requests_waiting,   // entries in the wait queues for a free leaf
+  loop_lag_seconds,   // delay of the last periodic sweep
+  quota_tokens_held,  // by this daemon, for all accounts together
+  gauge_count         // the number of gauges
 };
 
 std::string_view name_of(gauge which) noexcept;
--- a/packages/tier/src/daemon_state.hpp
+++ b/packages/tier/src/daemon_state.hpp
@@ -21,6 +21,7 @@
 #include "medlarloft/tier.hpp"
 #include "pause_guard.hpp"
 #include "peer_link.hpp"
+#include "quota_admission.hpp"
 #include "quota_calculator.hpp"
 #include "request_task.hpp"
 #include "stop_sequence.hpp"
@@ -58,6 +59,14 @@
   void refuse_without_account(http::exchange& exchange,
                               const request_metadata& metadata,
                               const routes::route& route);
+  /// Starts the request once its account's quota admits it, or refuses it.
+  void admit_by_quota(const std::shared_ptr<admitted_request>& request,
+                      duration waited);
+  void refuse_over_quota(const admitted_request& request, duration retry_after);
+  void start_request(const std::shared_ptr<admitted_request>& request);
+  void send_quota_message(const quota::envelope& message);
+  void handle_quota_message(const quota::quota_message& message);
+  void update_quota_coordinators();
   /// Whether the daemon may end before the request does, which must not be
   /// repeated then.
   bool may_outlast_stop(const http::exchange& exchange,
@@ -88,6 +97,7 @@
   store_view view;
   connection_pool pool;
   quota_calculator quota;
+  quota_admission account_quotas;
   fleet_load loads;
   pause_guard pauses;
   fanout::retry_budget budget;
--- a/packages/tier/src/daemon_traffic.cpp
+++ b/packages/tier/src/daemon_traffic.cpp
@@ -15,6 +15,7 @@
 constexpr int status_bad_request = 400;
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
+constexpr int status_too_many_requests = 429;
 constexpr int status_unavailable = 503;
 
 /// How long callers cache addresses: seconds, since each request for addresses
@@ -28,6 +29,9 @@
 /// Requests that arrive right after a pause of the process are looked at again
 /// at this interval.
 constexpr duration hold_poll_period = milliseconds(5);
+/// A request that waits for a token of its account's quota asks again at this
+/// interval.
+constexpr duration quota_poll_period = milliseconds(3);
 /// Retry delay sent by a stopping daemon; callers then try another one.
 constexpr duration stopping_retry = milliseconds(50);
 
@@ -188,18 +192,69 @@
     refuse_while_stopping(*exchange);
     return;
   }
-  admitted_request admitted{
-      .exchange = std::move(exchange),
-      .metadata = std::move(metadata),
-      .table = table,
-      .route = route,
-      .account = account,
-      .services =
-          route->gathers()
-              ? route->shards
-              : std::vector{splits[route->name].next(route->split).service}};
-  if (stop.begun()) admitted.stop_deadline = stop.answer_deadline();
-  std::make_shared<request_task>(traffic, std::move(admitted))->start();
+  const auto admitted = std::make_shared<admitted_request>(
+      admitted_request{.exchange = std::move(exchange),
+                       .metadata = std::move(metadata),
+                       .table = table,
+                       .route = route,
+                       .account = account});
+  if (account == nullptr || !account->quota) {
+    start_request(admitted);
+    return;
+  }
+  account_quotas.set_table(table);
+  admit_by_quota(admitted, duration::zero());
+}
+
+void daemon::state::admit_by_quota(
+    const std::shared_ptr<admitted_request>& request, duration waited) {
+  const std::string& account = request->account->name;
+  const quota::decision decided = account_quotas.admit(account, waited);
+  if (decided.outcome == quota::admission::refused) {
+    refuse_over_quota(*request, decided.retry_after);
+    return;
+  }
+  if (decided.outcome == quota::admission::admitted) {
+    request->on_not_sent = [this, name = request->account->name,
+                            created_at = decided.created_at] {
+      account_quotas.give_back(name, created_at);
+    };
+    start_request(request);
+    return;
+  }
+  const auto left = std::make_shared<bool>(false);
+  request->exchange->on_disconnect([left] { *left = true; });
+  const time_point asked_at = steady_clock::now() - waited;
+  timers.after(quota_poll_period, [this, request, left, asked_at] {
+    check_pause();
+    if (!*left) admit_by_quota(request, steady_clock::now() - asked_at);
+  });
+}
+
+void daemon::state::refuse_over_quota(const admitted_request& request,
+                                      duration retry_after) {
+  metrics.increment(counter::requests_over_quota);
+  if (log.admit_request(steady_clock::now(), true)) {
+    log.write("request_over_quota", {{"request", request.metadata.request_id},
+                                     {"account", request.account->name},
+                                     {"route", request.route->name},
+                                     {"retry_after", retry_after},
+                                     {"version", request.table->version()}});
+  }
+  request.exchange->respond(
+      {.status = status_too_many_requests,
+       .headers = {{"Retry-After", format_seconds(retry_after)}}});
+}
+
+void daemon::state::start_request(
+    const std::shared_ptr<admitted_request>& request) {
+  const routes::route& route = *request->route;
+  request->services =
+      route.gathers()
+          ? route.shards
+          : std::vector{splits[route.name].next(route.split).service};
+  if (stop.begun()) request->stop_deadline = stop.answer_deadline();
+  std::make_shared<request_task>(traffic, std::move(*request))->start();
 }
 
 }  // namespace medlarloft::tier
--- a/packages/tier/src/peer_link.cpp
+++ b/packages/tier/src/peer_link.cpp
@@ -101,11 +101,11 @@
 };
 
 peer_link::peer_link(http::io_context& loop, loop::timer_queue& timers,
-                     endpoint self, message_handler on_message)
+                     endpoint self, handlers callbacks)
     : loop_(loop),
       timers_(timers),
       self_(std::move(self)),
-      on_message_(std::move(on_message)),
+      handlers_(std::move(callbacks)),
       datagrams_(loop),
       acceptor_(loop) {}
 
@@ -153,12 +153,24 @@
 }
 
 void peer_link::handle_message(std::string_view bytes) {
-  const auto message = peers::decode(bytes);
-  if (message) on_message_(message.value());
+  const auto message = peers::decode_any(bytes);
+  if (!message) return;
+  if (const auto* quota = std::get_if<quota::quota_message>(&message.value())) {
+    handlers_.on_quota_message(*quota);
+  } else {
+    handlers_.on_message(std::get<membership::message>(message.value()));
+  }
 }
 
 void peer_link::send(const endpoint& to, const membership::message& message) {
-  std::string bytes = peers::encode(message);
+  send_bytes(to, peers::encode(message));
+}
+
+void peer_link::send(const endpoint& to, const quota::quota_message& message) {
+  send_bytes(to, peers::encode(message));
+}
+
+void peer_link::send_bytes(const endpoint& to, std::string bytes) {
   sent_bytes_ += bytes.size();
   error_code error;
   const auto address = asio::ip::make_address(to.ip, error);
--- a/packages/tier/src/peer_link.hpp
+++ b/packages/tier/src/peer_link.hpp
@@ -17,13 +17,17 @@
 
 class peer_link : public std::enable_shared_from_this<peer_link> {
  public:
-  using message_handler = std::function<void(const membership::message&)>;
+  struct handlers {
+    std::function<void(const membership::message&)> on_message;
+    std::function<void(const quota::quota_message&)> on_quota_message;
+  };
 
   peer_link(http::io_context& loop, loop::timer_queue& timers, endpoint self,
-            message_handler on_message);
+            handlers callbacks);
 
   result<void, tier_error> start();
   void send(const endpoint& to, const membership::message& message);
+  void send(const endpoint& to, const quota::quota_message& message);
   void close();
   std::uint64_t sent_bytes() const noexcept { return sent_bytes_; }
 
@@ -31,7 +35,7 @@
   void receive_datagram();
   void accept();
   void handle_message(std::string_view bytes);
-  void send_large(const endpoint& to, std::string bytes);
+  void send_bytes(const endpoint& to, std::string bytes);
 
   struct incoming;
   struct outgoing;
@@ -39,7 +43,7 @@
   http::io_context& loop_;
   loop::timer_queue& timers_;
   endpoint self_;
-  message_handler on_message_;
+  handlers handlers_;
   boost::asio::ip::udp::socket datagrams_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::ip::udp::endpoint from_;
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -99,6 +99,7 @@
       table_(std::move(request.table)),
       route_(*request.route),
       account_(request.account),
+      on_not_sent_(std::move(request.on_not_sent)),
       received_at_(exchange_->received_at()),
       caller_deadline_(caller_deadline(received_at_, metadata_, route_)),
       execution_(make_plan(route_, metadata_, std::move(request.services),
@@ -374,6 +375,7 @@
   using fanout::request_outcome;
   daemon_metrics& metrics = context_.metrics;
   const duration elapsed = steady_clock::now() - received_at_;
+  if (on_not_sent_ && execution_.counts().sent == 0) on_not_sent_();
   int status = 0;
   if (result.outcome == request_outcome::caller_left) {
     metrics.increment(counter::callers_left);
--- a/packages/tier/src/request_task.hpp
+++ b/packages/tier/src/request_task.hpp
@@ -51,6 +51,8 @@
   /// The request is answered by then at the latest; infinite unless the daemon
   /// is stopping.
   time_point stop_deadline = time_point::max();
+  /// Called if the request ends before it was sent to a leaf; may be empty.
+  std::function<void()> on_not_sent;
 };
 
 class request_task : public std::enable_shared_from_this<request_task> {
@@ -91,6 +93,7 @@
   routes::route_table_ptr table_;
   const routes::route& route_;
   const routes::account* account_;
+  std::function<void()> on_not_sent_;
   time_point received_at_;
   /// When the caller stops waiting; leafs are sent the remaining time.
   time_point caller_deadline_;
--- a/packages/tier/src/settings.cpp
+++ b/packages/tier/src/settings.cpp
@@ -93,6 +93,9 @@
   void read_optional(const std::string& path, double& out) {
     if (has(path)) read(path, out);
   }
+  void read_optional(const std::string& path, duration& out) {
+    if (has(path)) read(path, out);
+  }
   void read_optional(const std::string& path, std::optional<endpoint>& out) {
     if (has(path)) read(path, out.emplace());
   }
@@ -155,6 +158,9 @@
   reader.read("retries.ratio", parsed.retries.ratio);
   reader.read("retries.window", parsed.retries.window);
   reader.read("retries.slack", parsed.retries.slack);
+  reader.read_optional("quota.window", parsed.quota.window);
+  reader.read_optional("quota.excess", parsed.quota.excess);
+  reader.read_optional("quota.slack", parsed.quota.slack);
   reader.read("act_within.leaf_leaves", parsed.act_within.leaf_leaves);
   reader.read("act_within.configuration", parsed.act_within.configuration);
   reader.read("stop_within", parsed.stop_within);
--- a/packages/tier/tests/settings_test.cpp
+++ b/packages/tier/tests/settings_test.cpp
@@ -41,6 +41,18 @@
             (endpoint{"10.0.0.7", 93}));
 }
 
+// Deployments without accounts have no such settings.
+TEST(tier_settings, tolerances_of_quotas_are_optional) {
+  EXPECT_EQ(read_settings(settings_text()).value().quota.slack, 0);
+  std::string modified = settings_text();
+  modified.insert(modified.find("\"later\""),
+                  R"("quota":{"window":"4s","excess":0.25,"slack":20},)");
+  const quota::tolerance read = read_settings(modified).value().quota;
+  EXPECT_EQ(read.window, std::chrono::seconds(4));
+  EXPECT_EQ(read.excess, 0.25);
+  EXPECT_EQ(read.slack, 20);
+}
+
 TEST(tier_settings, memory_limit_defaults_to_256_mb) {
   EXPECT_EQ(read_settings(settings_text()).value().memory_bytes,
             std::size_t{256} << 20);
