soak: callers with keys, and an account that exceeds its quota

The callers of the soak send keys. Its refusals do not count as unserved requests at the end of a run.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -56,6 +56,9 @@
   return names;
 }
 
+const std::string unlimited_key = "key-of-unlimited";
+const std::string limited_key = "key-of-limited";
+
 }  // namespace
 
 deployment::deployment(loop::io_context& loop, loop::timer_queue& timers,
@@ -172,6 +175,8 @@
   once["service"] = "once";
   json changing = route("changing", "idempotent");
   changing["service"] = changing_service(version_);
+  json limited = route("limited", "idempotent");
+  limited["service"] = "vault";
   json services = json::array();
   for (const std::string& service : services_) {
     services.push_back({{"name", service},
@@ -180,26 +185,44 @@
                         {"warmupS", 0},
                         {"warmupPerS", 0}});
   }
-  store_.put("op/config", {{"version", version_},
-                           {"routes", {gather, single, once, changing}},
-                           {"services", std::move(services)}});
+  json config = {{"version", version_},
+                 {"routes", {gather, single, once, changing, limited}},
+                 {"services", std::move(services)}};
+  if (options_.accounts) {
+    config["tenants"] = {{{"name", "unlimited"}, {"apiKeys", {unlimited_key}}},
+                         {{"name", "limited"},
+                          {"apiKeys", {limited_key}},
+                          {"ratePerS", account_rate},
+                          {"burst", account_burst}}};
+  }
+  store_.put("op/config", config);
   return version_;
 }
 
 std::vector<request_kind> deployment::request_kinds() const {
-  return {{.name = "gather",
-           .path = "/gather/q",
-           .shard_sets = {first_shards_, second_shards_},
-           .min_coverage = 0.75,
-           .max_records = 20,
-           .weight = 6},
-          {.name = "single", .path = "/single/q", .weight = 2},
-          {.name = "once",
-           .method = "POST",
-           .path = "/once/q",
-           .idempotent = false,
-           .weight = 2},
-          {.name = "changing", .path = "/changing/q", .weight = 2}};
+  std::vector<request_kind> kinds{
+      {.name = "gather",
+       .path = "/gather/q",
+       .shard_sets = {first_shards_, second_shards_},
+       .min_coverage = 0.75,
+       .max_records = 20,
+       .weight = 6},
+      {.name = "single", .path = "/single/q", .weight = 2},
+      {.name = "once",
+       .method = "POST",
+       .path = "/once/q",
+       .idempotent = false,
+       .weight = 2},
+      {.name = "changing", .path = "/changing/q", .weight = 2}};
+  if (!options_.accounts) return kinds;
+  for (request_kind& kind : kinds)
+    kind.key = unlimited_key;
+  kinds.push_back({.name = "limited",
+                   .path = "/limited/q",
+                   .key = limited_key,
+                   .over_quota = true,
+                   .weight = 2});
+  return kinds;
 }
 
 std::string deployment::service_of(const std::string& leaf) const {
@@ -245,6 +268,10 @@
        {{"ratio", retry_ratio},
         {"window", format_duration(retry_window)},
         {"slack", retry_slack}}},
+      {"quota",
+       {{"window", format_duration(quota_window)},
+        {"excess", quota_excess},
+        {"slack", quota_slack}}},
       {"act_within",
        {{"leaf_leaves", format_duration(drain_bound)},
         {"configuration", format_duration(configuration_bound)}}},
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -27,6 +27,8 @@
   std::uint64_t seed = 1;
   /// First NET of the five networks 127.NET.x.y that are used.
   int net = 60;
+  /// Whether requests need accounts, one of which exceeds its quota.
+  bool accounts = false;
 };
 
 inline constexpr std::size_t data_centres = 3;
@@ -41,6 +43,12 @@
 inline constexpr double retry_ratio = 0.2;
 inline constexpr double retry_slack = 54;
 inline constexpr duration retry_window = std::chrono::seconds(10);
+/// The quota of the account that exceeds it.
+inline constexpr double account_rate = 8;
+inline constexpr double account_burst = 8;
+inline constexpr duration quota_window = std::chrono::seconds(5);
+inline constexpr double quota_excess = 0.25;
+inline constexpr double quota_slack = 20;
 
 /// A daemon and its process, which may be restarted.
 struct daemon_process {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -77,6 +77,8 @@
     const time_point late_from =
         session_.started_at() + length_ - fault_free_end / 2;
     if (attempt.ended_at <= late_from) return;
+    // Most requests of an account over its quota are refused by design.
+    if (attempt.kind->over_quota) return;
     ++late_attempts_;
     if (attempt.status == 200) ++late_successes_;
   }
@@ -122,7 +124,8 @@
        .daemons = static_cast<std::size_t>(absl::GetFlag(FLAGS_daemons)),
        .shards = static_cast<std::size_t>(absl::GetFlag(FLAGS_shards)),
        .seed = seed,
-       .net = absl::GetFlag(FLAGS_net)},
+       .net = absl::GetFlag(FLAGS_net),
+       .accounts = true},
       length.value(), absl::GetFlag(FLAGS_rate),
       {.seed = seed,
        .window_end = length.value() - fault_free_end - seconds(4),
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -208,6 +208,37 @@
   }
 }
 
+// Checks the requests of the limited account that leafs ran, each counted once,
+// against its quota in every window. Faults are no excuse.
+void promise_checker::check_quota() {
+  std::vector<time_point> runs;
+  for (const auto& [id, request] : requests_) {
+    const standins::request_kind* kind = request.last_attempt.kind;
+    if (kind == nullptr || !kind->over_quota || request.executions.empty())
+      continue;
+    runs.push_back(std::ranges::min(request.executions, {},
+                                    &standins::execution_record::started_at)
+                       .started_at);
+  }
+  std::ranges::sort(runs);
+  const double quota =
+      account_rate * std::chrono::duration<double>(quota_window).count() +
+      account_burst;
+  const double bound = quota * (1 + quota_excess) + quota_slack;
+  auto first = runs.begin();
+  for (auto last = runs.begin(); last != runs.end(); ++last) {
+    while (*last - *first >= quota_window)
+      ++first;
+    const auto count = last - first + 1;
+    most_in_quota_window_ =
+        std::max(most_in_quota_window_, static_cast<std::size_t>(count));
+    if (static_cast<double>(count) <= bound) continue;
+    add_violation(*last, "the limited account ran " + std::to_string(count) +
+                             " requests in a window");
+    break;
+  }
+}
+
 void promise_checker::finish() {
   for (const auto& [id, request] : requests_) {
     const standins::request_kind* kind = request.last_attempt.kind;
@@ -230,6 +261,7 @@
     if (kind->name == "changing") check_configuration_version(request);
   }
   check_retry_budget();
+  check_quota();
 }
 
 }  // namespace medlarloft::soak
--- a/tests/soak/promises.hpp
+++ b/tests/soak/promises.hpp
@@ -61,6 +61,10 @@
   const std::map<std::string, kind_metrics>& metrics() const noexcept {
     return metrics_;
   }
+  /// Most requests of the limited account that ran within `quota_window`.
+  std::size_t most_in_quota_window() const noexcept {
+    return most_in_quota_window_;
+  }
   std::uint64_t leaf_request_count() const noexcept {
     return leaf_request_count_;
   }
@@ -80,6 +84,7 @@
   bool bounds_apply(time_point now) const;
   void check_configuration_version(const request_history& request);
   void check_retry_budget();
+  void check_quota();
 
   int active_faults_ = 0;
   time_point last_fault_{};
@@ -92,6 +97,7 @@
   std::vector<std::pair<time_point, time_point>> fault_spans_;
   std::vector<violation> violations_;
   std::uint64_t leaf_request_count_ = 0;
+  std::size_t most_in_quota_window_ = 0;
 };
 
 }  // namespace medlarloft::soak
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -52,6 +52,22 @@
   EXPECT_EQ(checker.violations().size(), 1U);
 }
 
+// 80 requests of the account may run within 5 s, each counted once.
+TEST(promises, an_account_ran_more_requests_than_its_quota) {
+  const request_kind limited{.name = "limited", .over_quota = true};
+  for (const int count : {80, 81}) {
+    promise_checker checker;
+    for (int i = 0; i < count; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      const time_point at = start + milliseconds(60 * i);
+      checker.on_execution(id, execution("vault", at));
+      checker.on_attempt(attempt(id, limited, 200, at));
+    }
+    checker.finish();
+    EXPECT_EQ(checker.violations().size(), count > 80 ? 1U : 0U);
+  }
+}
+
 TEST(promises, a_refused_request_had_run) {
   promise_checker checker;
   checker.on_execution("r", execution("once"));
--- a/tests/soak/session.cpp
+++ b/tests/soak/session.cpp
@@ -147,6 +147,8 @@
       static_cast<unsigned long long>(checker_.leaf_request_count()),
       static_cast<unsigned long long>(deployment_.store().request_count()),
       std::chrono::duration<double>(deployment_.processor_time()).count());
+  std::printf("most requests of the limited account in a window: %zu\n",
+              checker_.most_in_quota_window());
   for (const auto& violation : checker_.violations()) {
     std::printf("BROKEN at %.3f: %s\n",
                 std::chrono::duration<double>(violation.timestamp - started_at_)
