--- a/packages/tier/src/daemon_metrics.cpp
+++ b/packages/tier/src/daemon_metrics.cpp
@@ -7,16 +7,28 @@
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(counter::counter_count)>
-    counter_names{"requests",         "answered_whole",
-                  "answered_partial", "refused_not_run",
-                  "failed",           "out_of_time",
-                  "callers_left",     "no_route",
-                  "not_ready",        "leaf_requests",
-                  "hedges",           "retries",
-                  "budget_empty",     "connections_opened",
-                  "store_calls",      "peer_bytes",
-                  "address_answers",  "unauthorized",
-                  "reports_ignored",  "refused_overloaded"};
+    counter_names{"requests",
+                  "answered_whole",
+                  "answered_partial",
+                  "refused_not_run",
+                  "failed",
+                  "out_of_time",
+                  "callers_left",
+                  "no_route",
+                  "not_ready",
+                  "leaf_requests",
+                  "hedges",
+                  "retries",
+                  "budget_empty",
+                  "connections_opened",
+                  "store_calls",
+                  "peer_bytes",
+                  "address_answers",
+                  "unauthorized",
+                  "reports_ignored",
+                  "refused_overloaded",
+                  "requests_over_quota",
+                  "quota_messages"};
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(gauge::gauge_count)>
@@ -37,9 +49,9 @@
                 "leaf_in_flight_ratio",
                 "leaf_slowness_ratio",
                 "services_contended",
-
                 "overload_level",
-                "load"};
+                "load",
+                "quota_tokens_held"};
 
 }  // namespace
 
--- a/packages/tier/src/daemon_metrics.hpp
+++ b/packages/tier/src/daemon_metrics.hpp
@@ -33,7 +33,9 @@
   unauthorized,     // requests without the key of an account
   reports_ignored,  // headers of leafs with a malformed or excessive value
   refused_overloaded,
-  counter_count  // the number of counters
+  requests_over_quota,
+  quota_messages,  // sent to other daemons
+  counter_count    // the number of counters
 };
 
 std::string_view name_of(counter which) noexcept;
@@ -60,6 +62,7 @@
   services_contended,  // more daemons compete than their leafs have slots
   overload_level,      // 0: not overloaded
   load,                // fraction of the host in use
+  quota_tokens_held,   // by this daemon, for all accounts together
   gauge_count          // the number of gauges
 };
 
