--- a/packages/leafs/tests/leaf_choice_test.cpp
+++ b/packages/leafs/tests/leaf_choice_test.cpp
@@ -28,8 +28,8 @@
 
 leaf_set make_set(const daemon_quota& quota, std::uint64_t seed) {
   leaf_set set({.local_data_centre = "near"}, seed);
-  set.set_limits("s", {.max_connections = 10'000});
-  set.set_quota(quota);
+  set.set_limits(start, "s", {.max_connections = 10'000});
+  set.set_quota(start, quota);
   for (std::size_t i = 0; i < 8; ++i)
     set.put(start, leaf(i, i % 3 == 0 ? "far" : "near"));
   return set;
@@ -170,8 +170,8 @@
 class uneven_leafs : public ::testing::Test {
  protected:
   uneven_leafs() {
-    set.set_limits("s", {.max_connections = 10'000});
-    set.set_quota(contended);
+    set.set_limits(start, "s", {.max_connections = 10'000});
+    set.set_quota(start, contended);
     slow = set.put(start, leaf(0));
     usual = set.put(start, leaf(1));
     for (int i = 0; i < 60; ++i) {
@@ -218,7 +218,7 @@
   for (const leaf_handle leaf : {slow, slow, slow, usual})
     set.on_attempt_sent(now, leaf, ++attempt, "w");
   EXPECT_EQ(set.spread(now).in_flight_ratio, 1.5);
-  set.set_quota(alone);
+  set.set_quota(now, alone);
   EXPECT_EQ(set.spread(now).contended_services, 0U);
 }
 
--- a/packages/leafs/tests/load_model_rules.hpp
+++ b/packages/leafs/tests/load_model_rules.hpp
@@ -87,8 +87,9 @@
   for (std::size_t i = 0; i < options.daemons; ++i) {
     leaf_set& set = daemons.emplace_back(
         leaf_set::options{.local_data_centre = "near"}, i + 1);
-    set.set_quota({.fraction = known.fraction, .daemons = known.daemons});
-    set.set_limits("s", {.max_connections = 10'000});
+    set.set_quota(start,
+                  {.fraction = known.fraction, .daemons = known.daemons});
+    set.set_limits(start, "s", {.max_connections = 10'000});
     for (std::size_t j = 0; j < options.leafs; ++j)
       set.put(start, {.id = std::to_string(j),
                       .service = "s",
