--- a/packages/quota/src/client.cpp
+++ b/packages/quota/src/client.cpp
@@ -26,9 +26,8 @@
 constexpr duration ahead_time = milliseconds(800);
 /// A daemon with fewer requests per second of an account holds no tokens.
 constexpr double min_ahead_rate = 0.2;
-/// A request can wait for the answer of a coordinator this near, also if one
-/// message is lost.
-constexpr duration max_near_round_trip = milliseconds(15);
+/// A request can wait for the answer of a coordinator this near.
+constexpr duration max_near_round_trip = milliseconds(25);
 /// Weight of the last answer in the estimate of the round trip.
 constexpr int round_trip_divisor = 8;
 /// Weight of the last period in the estimate of the rate.
