tier, leafs, fanout, apps: five faults found by reading, and sanitizers

- A stated limit above 1e9 divided by zero: at least 1 us lies between two requests.
The test ended with a trap (divide error) before the change.
- peer_link accepts again 20 ms after a failed accept.
- A planned stop gives all running requests its deadline.
- SIGTERM, SIGINT and SIGHUP are blocked from the first statement of main until the daemon handles them.
Signals before main, while the program is loaded, still end it.
- A connection that fails at once does not end its attempt during the send: the completion always comes from the event loop.
The new test of it passed before the change as well, so that the fault that the review assumed is not there.

--- a/apps/medlarloftd/main.cpp
+++ b/apps/medlarloftd/main.cpp
@@ -76,6 +76,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  medlarloft::tier::set_signals_blocked(true);
   absl::SetProgramUsageMessage(
       "medlarloftd --settings FILE [--check]\n\n"
       "One daemon of the medlarloft query tier. SIGTERM stops it gracefully;\n"
@@ -109,6 +110,7 @@
     std::cout << path << ": valid\n";
     return 0;
   }
+  medlarloft::tier::set_signals_blocked(false);
   medlarloft::logs::configure(settings.log_level, settings.id);
   medlarloft::server::daemon daemon(std::move(settings));
   const auto finished = daemon.run();
--- a/packages/fanout/include/medlarloft/fanout.hpp
+++ b/packages/fanout/include/medlarloft/fanout.hpp
@@ -209,6 +209,8 @@
   actions on_timer(time_point now);
   /// The caller disconnected.
   actions on_caller_left(time_point now);
+  /// The request must have its result by then, if not earlier.
+  actions limit_deadline(time_point now, time_point deadline);
 
   bool finished() const noexcept { return finished_; }
   const request_plan& plan() const noexcept { return plan_; }
--- a/packages/fanout/src/execution.cpp
+++ b/packages/fanout/src/execution.cpp
@@ -345,6 +345,12 @@
   return take_actions(now);
 }
 
+actions execution::limit_deadline(time_point now, time_point deadline) {
+  plan_.deadline = std::min(plan_.deadline, deadline);
+  plan_.soft_deadline = std::min(plan_.soft_deadline, plan_.deadline);
+  return on_timer(now);
+}
+
 bool execution::coverage_suffices(std::size_t parts) const {
   if (parts == 0) return false;
   const double coverage =
--- a/packages/fanout/tests/execution_test.cpp
+++ b/packages/fanout/tests/execution_test.cpp
@@ -387,6 +387,20 @@
   EXPECT_GE(end.result->retry_after, milliseconds(700) - setup.soft_deadline);
 }
 
+// The daemon ends before a request that has begun would give up.
+TEST(execution, ends_by_a_deadline_that_is_limited_later) {
+  scenario setup(1);
+  execution run = setup.make_execution();
+  ASSERT_EQ(run.start(start).sends.size(), 1U);
+  const time_point limit = start + milliseconds(1);
+  const actions limited = run.limit_deadline(start, limit);
+  EXPECT_FALSE(limited.result);
+  EXPECT_LE(limited.wake_at, limit);
+  const actions end = run.on_timer(limit);
+  ASSERT_TRUE(end.result);
+  EXPECT_EQ(end.result->outcome, request_outcome::out_of_time);
+}
+
 TEST(execution, waits_for_a_turn_of_a_limited_leaf_that_is_in_time) {
   scenario setup(1);
   setup.unavailable[0] = unavailable_reason::all_limited;
--- a/packages/leafs/src/leaf_throttle.cpp
+++ b/packages/leafs/src/leaf_throttle.cpp
@@ -9,12 +9,15 @@
 /// Consecutive failures after which a leaf is ejected.
 constexpr std::uint32_t failures_to_eject = 2;
 constexpr std::uint32_t max_ejection_doublings = 4;
-/// Longest time between two requests to a leaf that states a limit.
+/// Shortest and longest time between two requests to a leaf that states a
+/// limit. The shortest is not zero, as the pacer divides by it.
+constexpr std::chrono::duration<double> min_period =
+    std::chrono::microseconds(1);
 constexpr std::chrono::duration<double> max_period = std::chrono::hours(1);
 
 duration period_of(double rate) {
-  return std::chrono::duration_cast<duration>(
-      std::min(std::chrono::duration<double>(1 / rate), max_period));
+  return std::chrono::duration_cast<duration>(std::clamp(
+      std::chrono::duration<double>(1 / rate), min_period, max_period));
 }
 
 }  // namespace
--- a/packages/leafs/tests/stated_limit_test.cpp
+++ b/packages/leafs/tests/stated_limit_test.cpp
@@ -206,6 +206,15 @@
   EXPECT_FALSE(limited_at(start));
 }
 
+// The time between two requests was rounded to zero, by which the number of the
+// current one was divided.
+TEST_F(stated_limit_of_one_leaf, a_huge_limit_lets_requests_pass) {
+  set.on_report(start, a, start, {.rate_limit = 1e300});
+  const time_point later = start + milliseconds(1);
+  EXPECT_FALSE(limited_at(later));
+  EXPECT_EQ(set.earliest_turn(later, "s"), later);
+}
+
 TEST_F(stated_limit_of_one_leaf, the_earliest_turn_is_known) {
   set.on_report(start, a, start, {.rate_limit = 10});
   const time_point turn = set.earliest_turn(start, "s");
--- a/packages/tier/include/medlarloft/tier.hpp
+++ b/packages/tier/include/medlarloft/tier.hpp
@@ -210,6 +210,11 @@
 enum class tier_errc : std::uint8_t { cannot_start };
 using tier_error = basic_error<tier_errc>;
 
+/// Blocks or unblocks the signals that a daemon handles, for this thread. A
+/// program blocks them at its start, so that none ends it before the daemon can
+/// handle them; a daemon unblocks them once it can.
+void set_signals_blocked(bool blocked);
+
 /// One daemon. `run` blocks until the daemon has stopped after a signal, and
 /// returns an error at once if it cannot start.
 class daemon {
--- a/packages/tier/src/daemon.cpp
+++ b/packages/tier/src/daemon.cpp
@@ -250,6 +250,7 @@
   signals.add(SIGINT);
   signals.add(SIGHUP);
   await_signal();
+  set_signals_blocked(false);
   log.write("started",
             {{"data_centre", daemon_settings.data_centre},
              {"callers", format_endpoint(daemon_settings.listen.callers)},
@@ -280,6 +281,12 @@
   log.write("stopping", {{"within", daemon_settings.stop_within},
                          {"running", caller_server->active_requests()}});
   caller_server->drain();
+  // Requests may end while the deadline of another one changes.
+  const auto running = traffic.running;
+  for (request_task* task : running) {
+    if (traffic.running.contains(task))
+      task->limit_deadline(stop.answer_deadline());
+  }
   apply_group_outputs(distribution->leave(now, member_state::leaving));
   continue_stop();
 }
@@ -299,6 +306,14 @@
   timers.after(stop_poll_period, [this] { continue_stop(); });
 }
 
+void set_signals_blocked(bool blocked) {
+  sigset_t handled;
+  sigemptyset(&handled);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP})
+    sigaddset(&handled, number);
+  ::pthread_sigmask(blocked ? SIG_BLOCK : SIG_UNBLOCK, &handled, nullptr);
+}
+
 daemon::daemon(settings initial_settings, adapter platform)
     : state_(std::make_unique<state>(std::move(initial_settings),
                                      std::move(platform))) {}
--- a/packages/tier/src/peer_link.cpp
+++ b/packages/tier/src/peer_link.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t receive_buffer_bytes = 2048;
 constexpr std::size_t max_message_bytes = std::size_t{16} << 20;
 constexpr duration transfer_timeout = std::chrono::seconds(2);
+/// Pause after a failed accept, for example while no file descriptor is left.
+constexpr duration accept_retry_delay = std::chrono::milliseconds(20);
 /// Incoming connections open at the same time.
 constexpr std::size_t max_incoming = 64;
 
@@ -145,7 +147,13 @@
   acceptor_.async_accept(
       [self = shared_from_this()](const error_code& error, tcp::socket socket) {
         if (!self->acceptor_.is_open()) return;
-        if (!error && self->incoming_count_ < max_incoming) {
+        if (error) {
+          self->timers_.after(accept_retry_delay, [self] {
+            if (self->acceptor_.is_open()) self->accept();
+          });
+          return;
+        }
+        if (self->incoming_count_ < max_incoming) {
           std::make_shared<incoming>(self, std::move(socket))->start();
         }
         self->accept();
--- a/packages/tier/src/request_task.cpp
+++ b/packages/tier/src/request_task.cpp
@@ -157,8 +157,17 @@
   });
 }
 
+request_task::~request_task() {
+  context_.running.erase(this);
+}
+
+void request_task::limit_deadline(time_point deadline) {
+  perform(execution_.limit_deadline(steady_clock::now(), deadline));
+}
+
 void request_task::start() {
   const time_point now = steady_clock::now();
+  context_.running.insert(this);
   for (const std::string& service : execution_.plan().services)
     context_.budget.add_request(now, service);
   exchange_->on_disconnect(
@@ -389,6 +398,7 @@
 
 void request_task::finish(const fanout::request_result& result) {
   using fanout::request_outcome;
+  context_.running.erase(this);
   daemon_metrics& metrics = context_.metrics;
   const duration elapsed = steady_clock::now() - received_at_;
   int status = 0;
--- a/packages/tier/src/request_task.hpp
+++ b/packages/tier/src/request_task.hpp
@@ -4,6 +4,7 @@
 /// `fanout::execution` decides on, and sends the response.
 
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 #include "attempt_log.hpp"
@@ -14,6 +15,8 @@
 
 namespace medlarloft::tier {
 
+class request_task;
+
 /// Shared by all requests of a daemon.
 struct traffic_context {
   loop::timer_queue& timers;
@@ -29,6 +32,8 @@
   /// Whether the view is current, so that leafs may be picked.
   std::function<bool()> may_send;
   leafs::attempt_id last_attempt_id = 0;
+  /// The requests that have no result yet.
+  std::set<request_task*> running = {};
 };
 
 /// When the caller or the route stops waiting for a response, whichever is
@@ -56,8 +61,13 @@
 class request_task : public std::enable_shared_from_this<request_task> {
  public:
   request_task(traffic_context& context, admitted_request request);
+  ~request_task();
+  request_task(const request_task&) = delete;
+  request_task& operator=(const request_task&) = delete;
 
   void start();
+  /// The daemon ends: the request is answered by then at the latest.
+  void limit_deadline(time_point deadline);
 
  private:
   struct open_attempt {
--- a/packages/tier/tests/request_task_test.cpp
+++ b/packages/tier/tests/request_task_test.cpp
@@ -1,6 +1,9 @@
 #include "request_task.hpp"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <map>
 
@@ -45,6 +48,24 @@
   std::function<void()> on_disconnect_;
 };
 
+/// Lets no further file descriptor be opened.
+class descriptors_exhausted {
+ public:
+  descriptors_exhausted() {
+    EXPECT_EQ(::getrlimit(RLIMIT_NOFILE, &before_), 0);
+    const int next = ::dup(0);
+    ::close(next);
+    const rlimit none_left{static_cast<rlim_t>(next), before_.rlim_max};
+    EXPECT_EQ(::setrlimit(RLIMIT_NOFILE, &none_left), 0);
+  }
+  ~descriptors_exhausted() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+  descriptors_exhausted(const descriptors_exhausted&) = delete;
+  descriptors_exhausted& operator=(const descriptors_exhausted&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
 adapter make_fake_adapter() {
   adapter fake;
   fake.make_leaf_request = [](const http::message& request,
@@ -223,5 +244,20 @@
   EXPECT_EQ(metrics.value(counter::leaf_requests), 1U);
 }
 
+// A connection for which no descriptor is left fails without any I/O. If its
+// end were reported while the request is being sent, the task would use an
+// attempt that is gone.
+TEST_F(request_task_test, a_connection_that_fails_at_once_ends_after_the_send) {
+  add_leaf("i-1", "s1");
+  const auto exchange = [this] {
+    const descriptors_exhausted no_descriptor;
+    return start_request(single);
+  }();
+  EXPECT_FALSE(exchange->response);
+  ASSERT_TRUE(run_until([&] { return exchange->response.has_value(); }));
+  EXPECT_EQ(exchange->response->status, 503);
+  EXPECT_EQ(metrics.value(counter::leaf_requests), 1U);
+}
+
 }  // namespace
 }  // namespace medlarloft::tier
