replica: lost records of operators stay in use for 5 s after a restore

Cause: an operator's record that a restored store lacks was dropped after 2.5 s, like a leaf's. Leafs write every 1.2 s; operators may write later, and the leafs of a data centre that is out would get requests until then. Change: 5 s for records with the operators' prefix. A record that was removed before the restore is known as removed and not affected. Tests: lost_records_of_operators_stay_longer_than_those_of_leafs fails without the change.

--- a/packages/replica/include/medlarloft/replica.hpp
+++ b/packages/replica/include/medlarloft/replica.hpp
@@ -101,6 +101,10 @@
     /// How long records that a new era of the store lacks stay in use, so that
     /// their owners can write them again.
     duration lost_record_delay = std::chrono::milliseconds(2500);
+    /// The same for records with `immediate_prefix`. Operators may write later
+    /// than leafs, which write regularly, and a data centre that is out must
+    /// not get requests meanwhile.
+    duration lost_immediate_delay = std::chrono::seconds(5);
     /// How long records that this copy knew as removed, and that a new era of
     /// the store still holds, stay removed unless they are written again.
     duration returned_record_delay = std::chrono::seconds(4);
@@ -185,6 +189,7 @@
                     std::vector<update>& updates);
   void remove(time_point now, const std::string& key, record& stored,
               std::vector<update>& updates);
+  bool is_immediate(std::string_view key) const;
   duration removal_delay_for(time_point now, std::string_view key) const;
   void prune_tombstones();
 
--- a/packages/replica/src/replica.cpp
+++ b/packages/replica/src/replica.cpp
@@ -69,7 +69,8 @@
     const bool lost = stored.value && (!stored.remove_at || stored.lost);
     if (!lost) continue;
     stored.lost = true;
-    stored.remove_at = now + options_.lost_record_delay;
+    stored.remove_at = now + (is_immediate(key) ? options_.lost_immediate_delay
+                                                : options_.lost_record_delay);
   }
   pruned_up_to_ = as_of;
   last_position_ = as_of;
@@ -134,11 +135,14 @@
   updates.push_back({key, std::nullopt});
 }
 
+bool store_copy::is_immediate(std::string_view key) const {
+  return !options_.immediate_prefix.empty() &&
+         key.starts_with(options_.immediate_prefix);
+}
+
 duration store_copy::removal_delay_for(time_point now,
                                        std::string_view key) const {
-  const bool immediate = !options_.immediate_prefix.empty() &&
-                         key.starts_with(options_.immediate_prefix);
-  if (immediate) return duration::zero();
+  if (is_immediate(key)) return duration::zero();
   const bool during_outage =
       state_ == store_state::silent ||
       (recovered_at_ && now < *recovered_at_ + options_.outage_grace);
--- a/packages/replica/tests/replica_test.cpp
+++ b/packages/replica/tests/replica_test.cpp
@@ -224,6 +224,19 @@
   EXPECT_TRUE(copy.tick(start + seconds(60)).empty());
 }
 
+// A data centre was taken out shortly before the restore. Its record was
+// dropped before the operators had written it again, and its leafs got
+// requests.
+TEST(store_copy, lost_records_of_operators_stay_longer_than_those_of_leafs) {
+  store_copy copy({.immediate_prefix = "op/"});
+  copy.apply(start, {{"op/a", 1, "x"}, {"leaf", 2, "y"}}, 2);
+  copy.apply_listing(start, {}, at(1, 1));
+  const auto removed = copy.tick(start + seconds(3));
+  ASSERT_EQ(removed.size(), 1U);
+  EXPECT_EQ(removed[0].key, "leaf");
+  EXPECT_EQ(copy.tick(start + seconds(5)).size(), 1U);
+}
+
 // A leaf left shortly before the restore, so that the restored store names it.
 TEST(store_copy, a_removed_record_of_a_new_era_stays_removed_for_a_while) {
   store_copy copy({.removal_delay = seconds(1)});
--- a/packages/tier/tests/peer_link_test.cpp
+++ b/packages/tier/tests/peer_link_test.cpp
@@ -17,7 +17,10 @@
   http::io_context loop;
   loop::timer_queue timers(loop);
   const auto link = std::make_shared<peer_link>(
-      loop, timers, address, [](const membership::message&) {});
+      loop, timers, address,
+      peer_link::handlers{
+          .on_message = [](const membership::message&) {},
+          .on_quota_message = [](const quota::quota_message&) {}});
   ASSERT_TRUE(link->start());
   boost::asio::ip::tcp::socket peer(loop);
   peer.open(boost::asio::ip::tcp::v4());
