replica: the test of lost records expects 5 s for those of operators

uses_records_that_a_new_era_lacks_for_a_while checked 2.5 s with an operator's record, which was the rule before. It checks a leaf's record now, and the new test checks both ends of the 5 s. Found by the test itself.

--- a/packages/replica/tests/replica_test.cpp
+++ b/packages/replica/tests/replica_test.cpp
@@ -196,8 +196,8 @@
 // A record written after the copy from which the store was restored is missing
 // then, although its owner is alive and writes it again.
 TEST(store_copy, uses_records_that_a_new_era_lacks_for_a_while) {
-  store_copy copy({.immediate_prefix = "ours/"});
-  copy.apply(start, {{"a", 1, "x"}, {"b", 2, "y"}, {"ours/c", 3, "z"}}, 3);
+  store_copy copy({});
+  copy.apply(start, {{"a", 1, "x"}, {"b", 2, "y"}, {"c", 3, "z"}}, 3);
   EXPECT_TRUE(
       copy.apply_listing(start, {{"a", at(1, 1), "x"}}, at(1, 1)).empty());
   EXPECT_TRUE(copy.tick(start + milliseconds(2499)).empty());
@@ -207,7 +207,7 @@
   EXPECT_EQ(copy.next_tick(), start + milliseconds(2500));
   const auto updates = copy.tick(start + milliseconds(2500));
   ASSERT_EQ(updates.size(), 1U);
-  EXPECT_EQ(updates[0].key, "ours/c");
+  EXPECT_EQ(updates[0].key, "c");
   EXPECT_FALSE(updates[0].value);
 }
 
@@ -234,6 +234,7 @@
   const auto removed = copy.tick(start + seconds(3));
   ASSERT_EQ(removed.size(), 1U);
   EXPECT_EQ(removed[0].key, "leaf");
+  EXPECT_TRUE(copy.tick(start + milliseconds(4999)).empty());
   EXPECT_EQ(copy.tick(start + seconds(5)).size(), 1U);
 }
 
