--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,7 +9,7 @@
 for folder in packages/*/include; do includes+=("-I$folder"); done
 shared=(review/standins-2/fleet.cpp platform/standins/store.cpp
   tests/soak/link.cpp)
-cases=(store_eras removal_times session store_view)
+cases=(store_eras removal_times session reader store_view)
 objects=()
 pids=()
 compile() { # SOURCE: compiles it in the background
--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -241,6 +241,8 @@
 fleet::fleet(case_options options, std::size_t daemons)
     : options_(std::move(options)),
       store_(loop_, timers_, {address(0, 0), store_port}),
+      store_link_(loop_, timers_, {address(0, 1), store_port},
+                  {address(0, 0), store_port}),
       record_(options_.record),
       ready_(daemons, false) {
   for (std::size_t i = 0; i < daemons; ++i) {
@@ -304,7 +306,7 @@
         {"control_announced", at(announced_control_port)},
         {"metrics", at(metrics_port)}}},
       {"seeds", seed_list},
-      {"store", format_endpoint({address(0, 0), store_port})},
+      {"store", format_endpoint({address(0, 1), store_port})},
       {"first_deployment", false},
       {"retries", {{"ratio", 0.2}, {"window", "10s"}, {"slack", 54}}},
       {"act_within",
--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -192,6 +192,8 @@
   http::io_context& loop() noexcept { return loop_; }
   loop::timer_queue& timers() noexcept { return timers_; }
   standins::store& store() noexcept { return store_; }
+  /// The link from all daemons to the store.
+  soak::link& store_link() noexcept { return store_link_; }
   datagram_proxy& datagrams_to(std::size_t index) {
     return *daemons_[index].datagrams;
   }
@@ -215,6 +217,7 @@
   http::io_context loop_{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};
   loop::timer_queue timers_{loop_};
   standins::store store_;
+  soak::link store_link_;
   time_point started_at_ = steady_clock::now();
   std::ofstream record_;
   std::vector<daemon> daemons_;
