--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -155,6 +155,7 @@
   }
   if (on_arrival) on_arrival(id);
   if (!running()) return;
+  owner_.record("runs " + id + " at " + options_.id);
   ++running_requests_;
   owner_.timers().after(options_.work, [this, alive = alive_, exchange, id] {
     if (!*alive) return;
@@ -190,6 +191,9 @@
         .daemon = options_.daemon,
         .sent_at = steady_clock::now(),
     });
+    owner_.record_sent(request->id, options_.method + " " + options_.path +
+                                        " to edge-" +
+                                        std::to_string(options_.daemon));
     while (!idle_.empty() && !idle_.back()->usable())
       idle_.pop_back();
     if (!idle_.empty()) {
@@ -452,17 +456,24 @@
   record_ << elapsed.count() << " ms " << line << '\n';
 }
 
+void fleet::record_sent(const std::string& id, const std::string& what) {
+  sent_[id] = steady_clock::now();
+  record("sent " + id + " " + what);
+}
+
 std::string fleet::next_request_id() {
   return "q" + std::to_string(++requests_);
 }
 
-std::size_t most_in_span(const std::vector<time_point>& events, duration span) {
+std::size_t most_in_span(const std::vector<arrival>& arrivals, duration span) {
   std::size_t most = 0;
-  std::size_t first = 0;
-  for (std::size_t last = 0; last < events.size(); ++last) {
-    while (events[last] - events[first] >= span)
-      ++first;
-    most = std::max(most, last - first + 1);
+  for (std::size_t last = 0; last < arrivals.size(); ++last) {
+    const time_point begin = arrivals[last].arrived_at - span;
+    const auto inside = std::count_if(
+        arrivals.begin(),
+        arrivals.begin() + static_cast<std::ptrdiff_t>(last) + 1,
+        [begin](const arrival& each) { return each.sent_at > begin; });
+    most = std::max(most, static_cast<std::size_t>(inside));
   }
   return most;
 }
--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -185,6 +185,9 @@
   /// Writes one line, with the time since the start.
   void record(const std::string& line);
   std::string next_request_id();
+  /// Notes when a caller sent a request, and writes a line.
+  void record_sent(const std::string& id, const std::string& what);
+  time_point sent_at(const std::string& id) const { return sent_.at(id); }
   endpoint front(std::size_t index) const;
   static std::string zone_name(std::size_t index);
 
@@ -225,11 +228,20 @@
   std::vector<std::unique_ptr<leaf>> leafs_;
   std::vector<std::unique_ptr<callers>> callers_;
   std::uint64_t requests_ = 0;
+  std::map<std::string, time_point> sent_;
   std::uint64_t version_ = 0;
 };
 
-/// Returns the most events in any span of this length.
-std::size_t most_in_span(const std::vector<time_point>& events, duration span);
+/// A request that reached a leaf.
+struct arrival {
+  /// When the caller sent it.
+  time_point sent_at;
+  time_point arrived_at;
+};
+
+/// Returns the most requests that were sent and arrived inside the same span of
+/// this length. The arrivals are in the order of time.
+std::size_t most_in_span(const std::vector<arrival>& arrivals, duration span);
 
 /// A route as the store holds it.
 nlohmann::json make_route(const std::string& name, const std::string& kind,
--- a/review/standins-2/store_view.cpp
+++ b/review/standins-2/store_view.cpp
@@ -60,9 +60,9 @@
     restarted.end();
     deployment.record("crashed " + restarted.settings().id);
     deployment.run_for(down_time);
-    std::vector<time_point> arrivals;
+    std::vector<arrival> arrivals;
     restarted.on_arrival = [&](const std::string& id) {
-      arrivals.push_back(steady_clock::now());
+      arrivals.push_back({deployment.sent_at(id), steady_clock::now()});
       deployment.record("arrived " + id + " at " + restarted.settings().id);
     };
     restarted.cold_for = cold_time;
